--- a/Source/Model/gpStartMessages.h
+++ b/Source/Model/gpStartMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
 {
   gpTaskId task_;
   gpAttempt attempt_;
+  /// The caller's submission key, for the target's own records.
+  std::optional<gpSubmissionKey> key_;
   std::string path_;
   std::string body_;
   /// Time left until the job's deadline.
--- /dev/null
+++ b/Source/Runtime/gpEventLog.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <absl/status/status.h>
+
+#include "gpIds.h"
+#include "gpMember.h"
+#include "gpTimelineEvent.h"
+
+class gpLamportClock;
+
+/** \class gpEventLog
+ * \brief Writes the time line of this process as JSON lines, through log4cxx.
+ *
+ * Fields of a line: "event", "time" (UTC, RFC 3339 with microseconds), "clock"
+ * (Lamport time), "process" (name), "role", "incarnation", and as far as set
+ * "job", "task", "attempt", "service", "key", "peer", "number", "detail".
+ */
+class gpEventLog
+{
+public:
+  explicit gpEventLog(gpLamportClock& aClock);
+  ~gpEventLog();
+
+  /// Opens the file for appending; "-" is the standard output.
+  absl::Status Open(const std::string& aFile,
+                    gpRole aRole,
+                    const std::string& aProcess,
+                    gpIncarnation aIncarnation);
+  void Write(const gpTimelineEvent& aEvent);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
