--- a/Source/Model/gpStrongType.h
+++ b/Source/Model/gpStrongType.h
@@ -21,6 +21,9 @@
   {
   }
 
+  // clang-tidy 14 takes the 0 that a defaulted comparison implies for a null
+  // pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const gpStrongType&) const = default;
 
   template<typename H>
