--- /dev/null
+++ b/Source/Runtime/gpEventLoop.cxx
@@ -0,0 +1,56 @@
+#include "gpEventLoop.h"
+
+#include <chrono>
+#include <csignal>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "gpEventLoopContext.h"
+
+gpEventLoop::gpEventLoop()
+  : context_(std::make_unique<Context>())
+{
+}
+
+gpEventLoop::~gpEventLoop() = default;
+
+void
+gpEventLoop::Run()
+{
+  context_->io_.run();
+  context_->io_.restart();
+}
+
+void
+gpEventLoop::Stop()
+{
+  context_->io_.stop();
+}
+
+void
+gpEventLoop::Post(std::function<void()> aTask)
+{
+  boost::asio::post(context_->io_, std::move(aTask));
+}
+
+void
+gpEventLoop::OnTerminate(std::function<void()> aHandler)
+{
+  context_->signals_.add(SIGTERM);
+  context_->signals_.add(SIGINT);
+  context_->signals_.async_wait(
+    [handler = std::move(aHandler)](const boost::system::error_code& aError,
+                                    int /*aSignal*/) {
+      if (!aError) {
+        handler();
+      }
+    });
+}
+
+gpTime
+gpEventLoop::Now()
+{
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return gpTime(std::chrono::duration_cast<gpMicros>(now));
+}
