--- /dev/null
+++ b/Source/Wire/gpFrame.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "gpMessage.h"
+#include "gpPeer.h"
+
+/** \class gpFrame
+ * \brief What travels at once on a link. Without messages it's a heartbeat.
+ */
+struct gpFrame
+{
+  /// Number of the frame on its link and in its direction, from 1.
+  std::uint64_t sequence_ = 0;
+  /// Lamport time of the sender.
+  std::uint64_t clock_ = 0;
+  std::vector<gpMessage> messages_;
+
+  bool operator==(const gpFrame&) const = default;
+};
+
+/** \class gpEncodedFrame
+ * \brief A frame as bytes.
+ */
+struct gpEncodedFrame
+{
+  std::string bytes_;
+  /// How many of the messages given are in it.
+  std::size_t messages_ = 0;
+};
+
+/** \class gpHello
+ * \brief The first thing that each side of a link says, outside of frames.
+ */
+struct gpHello
+{
+  std::uint32_t protocol_ = 0;
+  gpPeer peer_;
+  /// Random number of the accepting side; 0 from the dialing side.
+  std::uint64_t nonce_ = 0;
+  /// The nonce as the dialing side received it; 0 from the accepting side.
+  std::uint64_t echo_ = 0;
+
+  bool operator==(const gpHello&) const = default;
+};
--- /dev/null
+++ b/Source/Wire/gpFrameCodec.cxx
@@ -0,0 +1,239 @@
+#include "gpFrameCodec.h"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "gpError.h"
+#include "gpWireClaims.h"
+#include "gpWireHello.h"
+#include "gpWireNews.h"
+#include "gpWireStarts.h"
+#include "gpWire_generated.h"
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+namespace {
+
+constexpr const char* kHelloIdentifier = "GPHL";
+/// Tables that the schema nests, with room to spare.
+constexpr flatbuffers::uoffset_t kMaxDepth = 8;
+/// A table takes at least its own offset and an offset that refers to it.
+constexpr std::size_t kLeastTableBytes = 8;
+/// What the sequence number, the clock and the vectors take at most.
+constexpr std::size_t kFirstBuilderBytes = 1024;
+
+// The table of the schema that a message is written as.
+template<typename Table>
+std::type_identity<Table> TargetOf(Offset<Table>);
+template<typename Model>
+using TableOf =
+  typename decltype(TargetOf(gpWriteWire(std::declval<FlatBufferBuilder&>(),
+                                         std::declval<const Model&>())))::type;
+
+using MessageReader = bool (*)(gpWireReader&, const void*, gpMessage&);
+
+template<typename Model>
+bool
+ReadMessage(gpWireReader& aReader, const void* aIn, gpMessage& aOut)
+{
+  const auto* table = static_cast<const TableOf<Model>*>(aIn);
+  return gpReadWire(aReader, table, aOut.emplace<Model>());
+}
+
+template<std::size_t... kIndex>
+constexpr auto
+MakeReaders(std::index_sequence<kIndex...> /*aIndices*/)
+{
+  using gpWire::MessageTraits;
+  static_assert(
+    ((MessageTraits<
+        TableOf<std::variant_alternative_t<kIndex, gpMessage>>>::enum_value ==
+      static_cast<gpWire::Message>(kIndex + 1)) &&
+     ...),
+    "the union of the schema must list the messages in the variant's order");
+  return std::array<MessageReader, sizeof...(kIndex)>{
+    &ReadMessage<std::variant_alternative_t<kIndex, gpMessage>>...
+  };
+}
+
+/// The reader of each message, by its type on the wire less one.
+constexpr auto kReaders =
+  MakeReaders(std::make_index_sequence<std::variant_size_v<gpMessage>>());
+static_assert(kReaders.size() == static_cast<int>(gpWire::Message::MAX));
+
+absl::Status
+BadFrame(const char* aReason)
+{
+  return gpMakeError(gpErrorCode::BadFrame, aReason);
+}
+
+/// Bytes at an address that FlatBuffers can read numbers from.
+class AlignedBytes
+{
+public:
+  explicit AlignedBytes(std::string_view aBytes)
+    : bytes_(aBytes)
+  {
+    constexpr std::size_t kAlignment = alignof(std::max_align_t);
+    if (reinterpret_cast<std::uintptr_t>(aBytes.data()) % kAlignment != 0) {
+      copy_.reserve(kMinHeapString); // blocks of the heap are aligned
+      copy_.assign(aBytes);
+      bytes_ = copy_;
+    }
+  }
+
+  const std::uint8_t* Data() const
+  {
+    return reinterpret_cast<const std::uint8_t*>(bytes_.data());
+  }
+  std::size_t Size() const { return bytes_.size(); }
+
+private:
+  static constexpr std::size_t kMinHeapString = 64;
+
+  std::string copy_;
+  std::string_view bytes_;
+};
+
+template<typename Table>
+bool
+IsVerified(const AlignedBytes& aBytes, const char* aIdentifier)
+{
+  flatbuffers::Verifier::Options options;
+  options.max_depth = kMaxDepth;
+  options.max_tables =
+    static_cast<flatbuffers::uoffset_t>(aBytes.Size() / kLeastTableBytes);
+  flatbuffers::Verifier verifier(aBytes.Data(), aBytes.Size(), options);
+  return verifier.VerifyBuffer<Table>(aIdentifier);
+}
+
+std::string
+TakeBytes(const FlatBufferBuilder& aBuilder)
+{
+  return { reinterpret_cast<const char*>(aBuilder.GetBufferPointer()),
+           aBuilder.GetSize() };
+}
+
+bool
+ReadMessages(gpWireReader& aReader,
+             const gpWire::Frame& aIn,
+             std::vector<gpMessage>& aOut)
+{
+  if (aIn.messages() == nullptr) {
+    return true;
+  }
+  const std::size_t count = aIn.messages()->size();
+  if (count > gpFrameCodec::kMaxMessages) {
+    return aReader.Fail("too many messages");
+  }
+  aOut.resize(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto index = static_cast<flatbuffers::uoffset_t>(i);
+    // Type 0 is no message; it wraps round to an index past the end.
+    const std::size_t type =
+      static_cast<std::size_t>(
+        aIn.messages_type()->GetEnum<gpWire::Message>(index)) -
+      1;
+    if (type >= kReaders.size()) {
+      return aReader.Fail("message of unknown type");
+    }
+    if (!kReaders.at(type)(aReader, aIn.messages()->Get(index), aOut[i])) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+gpEncodedFrame
+gpFrameCodec::EncodeFrame(std::uint64_t aSequence,
+                          std::uint64_t aClock,
+                          std::span<const gpMessage> aMessages,
+                          std::size_t aSoftBytes)
+{
+  FlatBufferBuilder builder(kFirstBuilderBytes);
+  std::vector<gpWire::Message> types;
+  std::vector<Offset<void>> messages;
+  for (const gpMessage& message : aMessages) {
+    types.push_back(static_cast<gpWire::Message>(message.index() + 1));
+    messages.push_back(std::visit(
+      [&builder](const auto& aMessage) {
+        return gpWriteWire(builder, aMessage).Union();
+      },
+      message));
+    if (builder.GetSize() > aSoftBytes || messages.size() == kMaxMessages) {
+      break;
+    }
+  }
+  Offset<flatbuffers::Vector<gpWire::Message>> typeVector;
+  Offset<flatbuffers::Vector<Offset<void>>> messageVector;
+  if (!messages.empty()) {
+    typeVector = builder.CreateVector(types);
+    messageVector = builder.CreateVector(messages);
+  }
+  builder.Finish(
+    gpWire::CreateFrame(builder, aSequence, aClock, typeVector, messageVector),
+    gpWire::FrameIdentifier());
+  return { TakeBytes(builder), messages.size() };
+}
+
+std::string
+gpFrameCodec::EncodeFrame(const gpFrame& aFrame)
+{
+  return EncodeFrame(
+           aFrame.sequence_, aFrame.clock_, aFrame.messages_, kMaxBytes)
+    .bytes_;
+}
+
+absl::StatusOr<gpFrame>
+gpFrameCodec::DecodeFrame(std::string_view aBytes)
+{
+  if (aBytes.size() > kMaxBytes) {
+    return gpMakeError(gpErrorCode::FrameTooLarge, "frame over 1 GiB");
+  }
+  const AlignedBytes bytes(aBytes);
+  if (!IsVerified<gpWire::Frame>(bytes, gpWire::FrameIdentifier())) {
+    return BadFrame("not a frame, or a required field is missing");
+  }
+  const gpWire::Frame* table = gpWire::GetFrame(bytes.Data());
+  gpFrame frame{ table->sequence(), table->clock(), {} };
+  gpWireReader reader(bytes.Size());
+  if (!ReadMessages(reader, *table, frame.messages_)) {
+    return BadFrame(reader.GetFailure());
+  }
+  return frame;
+}
+
+std::string
+gpFrameCodec::EncodeHello(const gpHello& aHello)
+{
+  FlatBufferBuilder builder(kFirstBuilderBytes);
+  builder.Finish(gpWriteWire(builder, aHello), kHelloIdentifier);
+  return TakeBytes(builder);
+}
+
+absl::StatusOr<gpHello>
+gpFrameCodec::DecodeHello(std::string_view aBytes)
+{
+  if (aBytes.size() > kMaxBytes) {
+    return gpMakeError(gpErrorCode::FrameTooLarge, "hello over 1 GiB");
+  }
+  const AlignedBytes bytes(aBytes);
+  if (!IsVerified<gpWire::Hello>(bytes, kHelloIdentifier)) {
+    return BadFrame("not a hello, or a required field is missing");
+  }
+  gpHello hello;
+  gpWireReader reader(bytes.Size());
+  const auto* table = flatbuffers::GetRoot<gpWire::Hello>(bytes.Data());
+  if (!gpReadWire(reader, table, hello)) {
+    return BadFrame(reader.GetFailure());
+  }
+  return hello;
+}
--- /dev/null
+++ b/Source/Wire/gpWireNews.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "gpMessage.h"
+#include "gpWireReader.h"
+
+/** \brief The messages about configuration and members. For .cxx files of this
+ * folder.
+ */
+
+flatbuffers::Offset<gpWire::ConfigurationNews>
+gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder,
+            const gpConfigurationNews& aIn);
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::ConfigurationNews* aIn,
+           gpConfigurationNews& aOut);
+
+flatbuffers::Offset<gpWire::RosterNews>
+gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpRosterNews& aIn);
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::RosterNews* aIn,
+           gpRosterNews& aOut);
+
+flatbuffers::Offset<gpWire::Announce>
+gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpAnnounce& aIn);
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::Announce* aIn,
+           gpAnnounce& aOut);
--- /dev/null
+++ b/Source/Wire/gpWireReader.cxx
@@ -0,0 +1,33 @@
+#include "gpWireReader.h"
+
+bool
+gpWireReader::Fail(const char* aReason)
+{
+  if (*failure_ == '\0') {
+    failure_ = aReason;
+  }
+  return false;
+}
+
+bool
+gpWireReader::Read(const flatbuffers::String* aIn, std::string& aOut)
+{
+  if (aIn == nullptr) {
+    return Fail("string missing");
+  }
+  if (!Charge(aIn->size() + sizeof(flatbuffers::uoffset_t))) {
+    return false;
+  }
+  aOut.assign(aIn->c_str(), aIn->size());
+  return true;
+}
+
+bool
+gpWireReader::Charge(std::size_t aBytes)
+{
+  if (aBytes > budget_) {
+    return Fail("parts overlap");
+  }
+  budget_ -= aBytes;
+  return true;
+}
