--- /dev/null
+++ b/Source/Runtime/gpHttpSession.cxx
@@ -0,0 +1,394 @@
+#include "gpHttpSession.h"
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "gpEventLoop.h"
+#include "gpHttpHeaders.h"
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using Parser = http::request_parser<http::string_body>;
+
+constexpr std::size_t kReadBytes = 8U << 10U;
+/// Bytes of later requests that are read while one waits. A caller that sends
+/// more is read on after its answer.
+constexpr std::size_t kPipelinedBytes = 64U << 10U;
+/// Time for the caller to take the last answer before the connection closes.
+constexpr gpMillis kLinger{ 1000 };
+/// How long a drained connection waits for a request that is on its way.
+constexpr gpMillis kDrainGrace{ 500 };
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+enum class State
+{
+  Reading,   ///< waiting for a request or for the rest of one
+  Waiting,   ///< the request handler has the request
+  Writing,   ///< the answer is being written
+  Lingering, ///< all is written; the caller is to close
+  Closed,
+};
+
+gpHttpRefusal
+RefusalOf(const error_code& aError)
+{
+  if (aError == http::error::header_limit) {
+    return gpHttpRefusal::HeaderTooLarge;
+  }
+  if (aError == http::error::body_limit) {
+    return gpHttpRefusal::BodyTooLarge;
+  }
+  return gpHttpRefusal::Malformed;
+}
+
+std::string_view
+ViewOf(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+gpHttpRequest
+RequestOf(http::request<http::string_body> aMessage)
+{
+  gpHttpRequest request;
+  request.method_ = ViewOf(aMessage.method_string());
+  request.target_ = ViewOf(aMessage.target());
+  for (const auto& field : aMessage) {
+    gpAddHeader(
+      request.headers_, ViewOf(field.name_string()), ViewOf(field.value()));
+  }
+  request.body_ = std::move(aMessage.body());
+  return request;
+}
+
+} // namespace
+
+struct gpHttpSession::Impl : std::enable_shared_from_this<Impl>
+{
+  Impl(gpHttpSession& aSession,
+       tcp::socket aSocket,
+       const gpHttpLimits& aLimits,
+       std::weak_ptr<gpHttpSessionOwner> aOwner)
+    : session_(&aSession)
+    , socket_(std::move(aSocket))
+    , limits_(aLimits)
+    , owner_(std::move(aOwner))
+  {
+  }
+
+  void ExpectRequest();
+  void Read();
+  void OnRead(const error_code& aError, std::size_t aBytes);
+  void OnReadEnd();
+  void Parse();
+  void Continue();
+  void HandOver();
+  void Write(gpHttpResponse aResponse, bool aKeep);
+  void OnWritten(const error_code& aError, bool aKeep);
+  void Linger();
+  void Settle();
+  void Close();
+  void SetDeadline(gpMillis aTime) { deadline_ = gpEventLoop::Now() + aTime; }
+
+  /// Null once the session object is gone.
+  gpHttpSession* session_;
+  tcp::socket socket_;
+  gpHttpLimits limits_;
+  std::weak_ptr<gpHttpSessionOwner> owner_;
+  State state_ = State::Reading;
+  gpTime deadline_ = gpTime::max();
+  std::array<char, kReadBytes> chunk_{};
+  /// Received bytes that the parser has not taken.
+  std::string input_;
+  std::optional<Parser> parser_;
+  http::response<http::string_body> response_;
+  bool reading_ = false;
+  bool inputEnded_ = false;
+  bool requestBegan_ = false;
+  bool continued_ = false;
+  bool keepAlive_ = false;
+  bool isHead_ = false;
+  bool draining_ = false;
+  bool settled_ = false;
+};
+
+void
+gpHttpSession::Impl::ExpectRequest()
+{
+  state_ = State::Reading;
+  requestBegan_ = false;
+  continued_ = false;
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(static_cast<std::uint32_t>(limits_.headerBytes_));
+  parser_->body_limit(limits_.bodyBytes_);
+  SetDeadline(draining_ ? kDrainGrace : limits_.idleTime_);
+  if (!input_.empty()) {
+    Parse();
+  }
+  Read();
+}
+
+void
+gpHttpSession::Impl::Read()
+{
+  const bool isBusy = state_ == State::Waiting || state_ == State::Writing;
+  const bool isFull = isBusy && input_.size() >= kPipelinedBytes;
+  if (reading_ || inputEnded_ || isFull || state_ == State::Closed) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(
+    boost::asio::buffer(chunk_),
+    [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
+      self->OnRead(aError, aBytes);
+    });
+}
+
+void
+gpHttpSession::Impl::OnRead(const error_code& aError, std::size_t aBytes)
+{
+  reading_ = false;
+  if (state_ == State::Closed) {
+    return;
+  }
+  if (aError) {
+    OnReadEnd();
+    return;
+  }
+  if (state_ != State::Lingering) {
+    input_.append(chunk_.data(), aBytes);
+  }
+  if (state_ == State::Reading) {
+    Parse();
+  }
+  Read();
+}
+
+void
+gpHttpSession::Impl::OnReadEnd()
+{
+  inputEnded_ = true;
+  if (state_ == State::Writing) {
+    return;
+  }
+  const bool isWaiting = state_ == State::Waiting;
+  const auto owner = owner_.lock();
+  if (isWaiting && owner && session_ != nullptr) {
+    owner->OnCallerGone(*session_);
+  }
+  Close();
+}
+
+void
+gpHttpSession::Impl::Parse()
+{
+  if (!requestBegan_) {
+    requestBegan_ = true;
+    SetDeadline(limits_.requestTime_);
+  }
+  error_code error;
+  const std::size_t used = parser_->put(boost::asio::buffer(input_), error);
+  input_.erase(0, used);
+  if (error && error != http::error::need_more) {
+    Write(gpRefuseRequest(RefusalOf(error)), false);
+  } else if (parser_->is_done()) {
+    HandOver();
+  } else if (parser_->is_header_done()) {
+    Continue();
+  }
+}
+
+void
+gpHttpSession::Impl::Continue()
+{
+  const auto expect = parser_->get()[http::field::expect];
+  if (continued_ || !boost::beast::iequals(expect, "100-continue")) {
+    return;
+  }
+  continued_ = true;
+  error_code error;
+  socket_.non_blocking(true, error);
+  const std::size_t written =
+    socket_.write_some(boost::asio::buffer(kContinue), error);
+  if (written != kContinue.size()) {
+    Close();
+  }
+}
+
+void
+gpHttpSession::Impl::HandOver()
+{
+  state_ = State::Waiting;
+  deadline_ = gpTime::max();
+  keepAlive_ = parser_->keep_alive();
+  isHead_ = parser_->get().method() == http::verb::head;
+  gpHttpRequest request = RequestOf(parser_->release());
+  const auto owner = owner_.lock();
+  if (owner && session_ != nullptr) {
+    owner->OnRequest(*session_, std::move(request));
+  }
+}
+
+void
+gpHttpSession::Impl::Write(gpHttpResponse aResponse, bool aKeep)
+{
+  state_ = State::Writing;
+  SetDeadline(limits_.idleTime_);
+  response_ = {};
+  response_.version(11);
+  response_.result(static_cast<unsigned>(aResponse.status_));
+  response_.set(http::field::content_type, aResponse.contentType_);
+  for (const auto& [name, value] : aResponse.headers_) {
+    response_.set(name, value);
+  }
+  response_.keep_alive(aKeep);
+  response_.content_length(aResponse.body_.size());
+  if (!isHead_) {
+    response_.body() = std::move(aResponse.body_);
+  }
+  http::async_write(socket_,
+                    response_,
+                    [self = shared_from_this(), aKeep](const error_code& aError,
+                                                       std::size_t /*aBytes*/) {
+                      self->OnWritten(aError, aKeep);
+                    });
+}
+
+void
+gpHttpSession::Impl::OnWritten(const error_code& aError, bool aKeep)
+{
+  if (state_ == State::Closed) {
+    return;
+  }
+  if (aError) {
+    Close();
+  } else if (aKeep && !inputEnded_) {
+    ExpectRequest();
+  } else {
+    Linger();
+  }
+}
+
+/// Closing with unread bytes would reset the connection, and the caller could
+/// lose the answer. So only the own direction is closed first.
+void
+gpHttpSession::Impl::Linger()
+{
+  state_ = State::Lingering;
+  input_.clear();
+  error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  Settle();
+  if (inputEnded_) {
+    Close();
+    return;
+  }
+  SetDeadline(kLinger);
+  Read();
+}
+
+void
+gpHttpSession::Impl::Settle()
+{
+  const auto owner = owner_.lock();
+  if (!std::exchange(settled_, true) && owner && session_ != nullptr) {
+    owner->OnSettled(*session_);
+  }
+}
+
+void
+gpHttpSession::Impl::Close()
+{
+  if (state_ == State::Closed) {
+    return;
+  }
+  state_ = State::Closed;
+  error_code ignored;
+  socket_.close(ignored);
+  Settle();
+  const auto owner = owner_.lock();
+  if (owner && session_ != nullptr) {
+    owner->OnClosed(*session_);
+  }
+}
+
+gpHttpSession::gpHttpSession(tcp::socket aSocket,
+                             const gpHttpLimits& aLimits,
+                             std::weak_ptr<gpHttpSessionOwner> aOwner)
+  : impl_(std::make_shared<Impl>(*this,
+                                 std::move(aSocket),
+                                 aLimits,
+                                 std::move(aOwner)))
+{
+}
+
+gpHttpSession::~gpHttpSession()
+{
+  impl_->session_ = nullptr;
+  impl_->Close();
+}
+
+void
+gpHttpSession::Start()
+{
+  error_code ignored;
+  impl_->socket_.set_option(tcp::no_delay(true), ignored);
+  impl_->ExpectRequest();
+}
+
+void
+gpHttpSession::Refuse(gpHttpRefusal aRefusal)
+{
+  impl_->Write(gpRefuseRequest(aRefusal), false);
+  impl_->Read();
+}
+
+void
+gpHttpSession::Respond(gpHttpResponse aResponse)
+{
+  if (impl_->state_ == State::Waiting) {
+    impl_->Write(std::move(aResponse), impl_->keepAlive_ && !impl_->draining_);
+  }
+}
+
+void
+gpHttpSession::Drain()
+{
+  impl_->draining_ = true;
+  if (impl_->state_ == State::Reading && !impl_->requestBegan_) {
+    impl_->SetDeadline(kDrainGrace);
+  }
+}
+
+void
+gpHttpSession::Close()
+{
+  impl_->Close();
+}
+
+void
+gpHttpSession::CheckDeadline(gpTime aNow)
+{
+  if (aNow < impl_->deadline_) {
+    return;
+  }
+  if (impl_->state_ == State::Reading && impl_->requestBegan_) {
+    impl_->Write(gpRefuseRequest(gpHttpRefusal::TooSlow), false);
+  } else {
+    impl_->Close();
+  }
+}
--- /dev/null
+++ b/Tests/Runtime/testHttpServer.cxx
@@ -0,0 +1,317 @@
+#define BOOST_TEST_MODULE gpHttpServer
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gpError.h"
+#include "gpEventLoop.h"
+#include "gpHttpServer.h"
+#include "gpRawCaller.h"
+#include "gpTestLoop.h"
+
+namespace {
+
+const std::string kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+std::string
+Post(const std::string& aBody)
+{
+  return "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+         std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+gpHttpResponse
+Answer(const std::string& aBody)
+{
+  gpHttpResponse response;
+  response.body_ = aBody;
+  return response;
+}
+
+std::string
+StatusLine(const std::string& aResponse)
+{
+  return aResponse.substr(0, aResponse.find("\r\n"));
+}
+
+/// A server that notes its requests; the test answers them.
+struct Fixture
+{
+  Fixture()
+    : Fixture(gpHttpLimits())
+  {
+  }
+
+  explicit Fixture(const gpHttpLimits& aLimits)
+  {
+    server_.emplace(loop_,
+                    aLimits,
+                    gpHttpServer::Handlers{
+                      [this](gpRequestId aId, const gpHttpRequest& aRequest) {
+                        ids_.push_back(aId);
+                        requests_.push_back(aRequest);
+                      },
+                      [this](gpRequestId aId) { gone_.push_back(aId); } });
+    address_ = *server_->Listen(gpAddress("127.0.0.1:0"));
+  }
+
+  void AwaitRequests(std::size_t aCount)
+  {
+    gpRunUntil(loop_, [&] { return ids_.size() >= aCount; });
+  }
+
+  std::string ReadRefusal(const std::string& aRequest)
+  {
+    gpRawCaller caller(loop_, address_);
+    caller.Send(aRequest);
+    return caller.ReadToEnd();
+  }
+
+  gpEventLoop loop_;
+  std::optional<gpHttpServer> server_;
+  gpAddress address_;
+  std::vector<gpRequestId> ids_;
+  std::vector<gpHttpRequest> requests_;
+  std::vector<gpRequestId> gone_;
+};
+
+gpHttpLimits
+SmallLimits()
+{
+  gpHttpLimits limits;
+  limits.headerBytes_ = 256;
+  limits.bodyBytes_ = 100;
+  limits.requestTime_ = gpMillis{ 40 };
+  return limits;
+}
+
+struct SmallFixture : Fixture
+{
+  SmallFixture()
+    : Fixture(SmallLimits())
+  {
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(TwoRequestsOnOneConnection, Fixture)
+{
+  gpRawCaller caller(loop_, address_);
+  caller.Send("POST /p?x=1 HTTP/1.1\r\nHost: h\r\nX-Two: a\r\nx-two: b\r\n"
+              "Content-Length: 3\r\n\r\none");
+  AwaitRequests(1);
+  BOOST_TEST(requests_[0].method_ == "POST");
+  BOOST_TEST(requests_[0].target_ == "/p?x=1");
+  BOOST_TEST(requests_[0].headers_.at("x-two") == "a, b");
+  BOOST_TEST(requests_[0].body_ == "one");
+  gpHttpResponse response = Answer("first");
+  response.status_ = 201;
+  response.headers_["retry-after"] = "2";
+  server_->Respond(ids_[0], response);
+  const std::string first = caller.ReadUntil("first");
+  BOOST_TEST(StatusLine(first) == "HTTP/1.1 201 Created");
+  BOOST_TEST(first.find("retry-after: 2\r\n") != std::string::npos);
+
+  caller.Send(kGet);
+  AwaitRequests(2);
+  BOOST_TEST((ids_[0] != ids_[1]));
+  server_->Respond(ids_[1], Answer("second"));
+  BOOST_TEST(StatusLine(caller.ReadUntil("second")) == "HTTP/1.1 200 OK");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnswersMayBeGivenLaterAndOutOfOrder, Fixture)
+{
+  gpRawCaller first(loop_, address_);
+  first.Send(kGet);
+  AwaitRequests(1);
+  gpRawCaller second(loop_, address_);
+  second.Send(kGet);
+  AwaitRequests(2);
+  server_->Respond(ids_[1], Answer("two"));
+  BOOST_TEST(second.ReadUntil("two").ends_with("\r\n\r\ntwo"));
+  server_->Respond(ids_[0], Answer("one"));
+  BOOST_TEST(first.ReadUntil("one").ends_with("\r\n\r\none"));
+}
+
+BOOST_FIXTURE_TEST_CASE(PipelinedRequestsAreServedInOrder, Fixture)
+{
+  gpRawCaller caller(loop_, address_);
+  caller.Send(Post("1") + Post("2"));
+  AwaitRequests(1);
+  BOOST_TEST(ids_.size() == 1U);
+  server_->Respond(ids_[0], Answer("one"));
+  AwaitRequests(2);
+  BOOST_TEST(requests_[1].body_ == "2");
+  server_->Respond(ids_[1], Answer("two"));
+  BOOST_TEST(caller.ReadUntil("two").find("one") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(ACallerThatClosesIsReported, Fixture)
+{
+  gpRawCaller caller(loop_, address_);
+  caller.Send(kGet);
+  AwaitRequests(1);
+  caller.Close();
+  gpRunUntil(loop_, [&] { return !gone_.empty(); });
+  BOOST_TEST((gone_[0] == ids_[0]));
+  server_->Respond(ids_[0], Answer("too late"));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAnsweredCallerThatClosesIsNotReported, Fixture)
+{
+  gpRawCaller first(loop_, address_);
+  first.Send(kGet);
+  AwaitRequests(1);
+  server_->Respond(ids_[0], Answer("x"));
+  first.Close();
+  gpRawCaller second(loop_, address_);
+  second.Send(kGet);
+  AwaitRequests(2);
+  second.Close();
+  gpRunUntil(loop_, [&] { return !gone_.empty(); });
+  BOOST_TEST(gone_.size() == 1U);
+  BOOST_TEST((gone_[0] == ids_[1]));
+}
+
+BOOST_FIXTURE_TEST_CASE(TooMuchOrMalformedIsRefused, SmallFixture)
+{
+  const std::string tooLong = ReadRefusal(Post(std::string(101, 'x')));
+  BOOST_TEST(StatusLine(tooLong) == "HTTP/1.1 413 Payload Too Large");
+  BOOST_TEST(tooLong.find("\"code\":\"request_too_large\"") !=
+             std::string::npos);
+  BOOST_TEST(tooLong.find("\"outcome\":\"not_run\"") != std::string::npos);
+
+  const std::string header = "X: " + std::string(300, 'x') + "\r\n\r\n";
+  const std::string tooWide = ReadRefusal("GET / HTTP/1.1\r\n" + header);
+  BOOST_TEST(StatusLine(tooWide) ==
+             "HTTP/1.1 431 Request Header Fields Too Large");
+
+  const std::string noHttp = ReadRefusal("hello\r\n\r\n");
+  BOOST_TEST(StatusLine(noHttp) == "HTTP/1.1 400 Bad Request");
+  BOOST_TEST(ids_.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnOversizedChunkedBodyIsRefused, SmallFixture)
+{
+  const std::string answer =
+    ReadRefusal("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n80\r\n" +
+                std::string(128, 'x') + "\r\n0\r\n\r\n");
+  BOOST_TEST(StatusLine(answer) == "HTTP/1.1 413 Payload Too Large");
+}
+
+BOOST_FIXTURE_TEST_CASE(ASlowCallerDisturbsNobody, SmallFixture)
+{
+  gpRawCaller slow(loop_, address_);
+  const std::string request = Post("slow");
+  slow.Send(request.substr(0, 1));
+  for (std::size_t i = 1; i + 1 < request.size(); ++i) {
+    slow.Send(request.substr(i, 1));
+    gpRawCaller quick(loop_, address_);
+    quick.Send(kGet);
+    AwaitRequests(i);
+    BOOST_TEST(requests_.back().target_ == "/a");
+    server_->Respond(ids_.back(), Answer("quick"));
+    BOOST_TEST(quick.ReadUntil("quick").ends_with("quick"));
+  }
+  BOOST_TEST(StatusLine(slow.ReadToEnd()) == "HTTP/1.1 408 Request Timeout");
+}
+
+BOOST_FIXTURE_TEST_CASE(ACallerMayWaitForContinue, Fixture)
+{
+  gpRawCaller caller(loop_, address_);
+  caller.Send("POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
+              "Content-Length: 2\r\n\r\n");
+  BOOST_TEST(caller.ReadUntil("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+  caller.Send("ab");
+  AwaitRequests(1);
+  BOOST_TEST(requests_[0].body_ == "ab");
+}
+
+BOOST_AUTO_TEST_CASE(AnIdleConnectionIsClosed)
+{
+  gpHttpLimits limits;
+  limits.idleTime_ = gpMillis{ 10 };
+  Fixture fixture(limits);
+  gpRawCaller caller(fixture.loop_, fixture.address_);
+  BOOST_TEST(caller.ReadToEnd().empty());
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsOverTheLimitAreRefused)
+{
+  gpHttpLimits limits;
+  limits.connections_ = 1;
+  Fixture fixture(limits);
+  gpRawCaller first(fixture.loop_, fixture.address_);
+  first.Send(kGet);
+  fixture.AwaitRequests(1);
+  gpRawCaller second(fixture.loop_, fixture.address_);
+  const std::string refusal = second.ReadToEnd();
+  BOOST_TEST(StatusLine(refusal) == "HTTP/1.1 503 Service Unavailable");
+  BOOST_TEST(refusal.find("retry-after: 1\r\n") != std::string::npos);
+  fixture.server_->Respond(fixture.ids_[0], Answer("first"));
+  BOOST_TEST(first.ReadUntil("first").ends_with("first"));
+}
+
+BOOST_FIXTURE_TEST_CASE(DrainGivesWholeAnswers, Fixture)
+{
+  gpRawCaller caller(loop_, address_);
+  caller.Send(kGet);
+  AwaitRequests(1);
+  bool drained = false;
+  server_->Drain([&] { drained = true; });
+  const std::string body = std::string(8U << 20U, 'x') + "end";
+  server_->Respond(ids_[0], Answer(body));
+  const std::string answer = caller.ReadToEnd();
+  BOOST_TEST(answer.find("Connection: close\r\n") != std::string::npos);
+  BOOST_TEST(answer.ends_with("\r\n\r\n" + body));
+  gpRunUntil(loop_, [&] { return drained; });
+}
+
+BOOST_FIXTURE_TEST_CASE(DrainServesConnectionsThatWaitToBeAccepted, Fixture)
+{
+  gpRawCaller caller(loop_, address_);
+  caller.Send(kGet);
+  bool drained = false;
+  server_->Drain([&] { drained = true; });
+  AwaitRequests(1);
+  BOOST_TEST(!drained);
+  server_->Respond(ids_[0], Answer("served"));
+  BOOST_TEST(caller.ReadToEnd().ends_with("served"));
+  gpRunUntil(loop_, [&] { return drained; });
+}
+
+BOOST_FIXTURE_TEST_CASE(DrainEndsWithIdleConnections, Fixture)
+{
+  gpRawCaller caller(loop_, address_);
+  caller.Send(kGet);
+  AwaitRequests(1);
+  server_->Respond(ids_[0], Answer("x"));
+  caller.ReadUntil("x");
+  bool drained = false;
+  server_->Drain([&] { drained = true; });
+  gpRunUntil(loop_, [&] { return drained; });
+  BOOST_TEST(caller.ReadToEnd().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AHandlerMayDestroyTheServer, Fixture)
+{
+  gpRawCaller caller(loop_, address_);
+  caller.Send(kGet);
+  AwaitRequests(1);
+  server_->Drain([this] { server_.reset(); });
+  server_->Respond(ids_[0], Answer("last"));
+  BOOST_TEST(caller.ReadToEnd().ends_with("last"));
+  gpRunUntil(loop_, [&] { return !server_.has_value(); });
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAddressInUseIsAnError, Fixture)
+{
+  gpHttpServer other(loop_, gpHttpLimits(), {});
+  const auto inUse = other.Listen(address_);
+  BOOST_TEST((gpErrorCodeOf(inUse.status()) == gpErrorCode::Io));
+  const auto noAddress = other.Listen(gpAddress("localhost:80"));
+  BOOST_TEST((gpErrorCodeOf(noAddress.status()) == gpErrorCode::BadArgument));
+}
