--- a/Source/Runtime/gpEventLog.cxx
+++ b/Source/Runtime/gpEventLog.cxx
@@ -1,6 +1,5 @@
 #include "gpEventLog.h"
 
-#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdio>
@@ -9,11 +8,11 @@
 #include <utility>
 
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/helpers/pool.h>
+#include <log4cxx/helpers/transcoder.h>
 #include <log4cxx/hierarchy.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
@@ -32,9 +31,18 @@
 /// The message is the whole line: log4cxx's own JSONLayout would write it as a
 /// string inside an object of its own, so that readers had to parse twice.
 constexpr const char* kPattern = "%m%n";
-constexpr const char* kEncoding = "UTF-8";
 constexpr const char* kLoggerName = "timeline";
 constexpr char kReplacement = '?';
+constexpr unsigned int kAsciiEnd = 0x80;
+constexpr unsigned int kHighSurrogate = 0xd800;
+constexpr unsigned int kLowSurrogate = 0xdc00;
+constexpr unsigned int kSurrogatesEnd = 0xe000;
+/// What log4cxx gives for bytes that are no UTF-8.
+constexpr unsigned int kUndecoded = 0xffff;
+constexpr unsigned int kSupplementary = 0x10000;
+constexpr unsigned int kSurrogateBits = 10;
+constexpr unsigned int kSurrogateMask = 0x3ff;
+constexpr unsigned int kCodesEnd = 0x110000;
 
 /// The present time in UTC, as RFC 3339 has it.
 std::string
@@ -56,29 +64,55 @@
   return text.data();
 }
 
+void
+AppendEscaped(std::string& aText, unsigned int aUnit)
+{
+  std::array<char, 8> escape{};
+  std::snprintf(escape.data(), escape.size(), "\\u%04x", aUnit);
+  aText += escape.data();
+}
+
+/// Whether it is a character that UTF-16 can hold and log4cxx could decode.
 bool
-IsAscii(char aByte)
+IsCharacter(unsigned int aCode)
 {
-  return static_cast<unsigned char>(aByte) < 0x80U;
+  const bool isSurrogate = aCode >= kHighSurrogate && aCode < kSurrogatesEnd;
+  return !isSurrogate && aCode != kUndecoded && aCode < kCodesEnd;
 }
 
-/// Details may quote bytes of a peer; a line must stay valid JSON.
-std::string
-WithoutInvalidBytes(std::string aLine)
+void
+AppendCharacter(std::string& aText, unsigned int aCode)
 {
-  if (std::all_of(aLine.begin(), aLine.end(), IsAscii)) {
-    return aLine;
+  if (!IsCharacter(aCode)) {
+    aText += kReplacement;
+  } else if (aCode < kAsciiEnd) {
+    aText += static_cast<char>(aCode);
+  } else if (aCode < kSupplementary) {
+    AppendEscaped(aText, aCode);
+  } else {
+    const unsigned int rest = aCode - kSupplementary;
+    AppendEscaped(aText, kHighSurrogate + (rest >> kSurrogateBits));
+    AppendEscaped(aText, kLowSurrogate + (rest & kSurrogateMask));
   }
-  boost::json::error_code error;
-  boost::json::parse(aLine, error);
-  if (error) {
-    std::replace_if(
-      aLine.begin(),
-      aLine.end(),
-      [](char aByte) { return !IsAscii(aByte); },
-      kReplacement);
+}
+
+/// Escapes all but ASCII, since the console appender writes the characters of
+/// the locale only. Bytes that are no UTF-8, which a peer may have sent, are
+/// replaced, so that the line stays valid JSON.
+std::string
+ToAscii(const std::string& aLine)
+{
+  std::string ascii;
+  ascii.reserve(aLine.size());
+  for (auto next = aLine.begin(); next != aLine.end();) {
+    const auto begin = next;
+    const unsigned int code = log4cxx::helpers::Transcoder::decode(aLine, next);
+    AppendCharacter(ascii, code);
+    if (code == kUndecoded) {
+      next = begin + 1;
+    }
   }
-  return aLine;
+  return ascii;
 }
 
 void
@@ -178,7 +212,6 @@
     }
   }
   const auto appender = MakeAppender(aFile);
-  appender->setEncoding(kEncoding);
   appender->setImmediateFlush(true);
   log4cxx::helpers::Pool pool;
   appender->activateOptions(pool);
@@ -201,10 +234,7 @@
   };
   AddEventFields(line, aEvent);
   if (impl_->logger_) {
-    // Other methods decode the message by the locale; this one takes UTF-8.
-    impl_->logger_->forcedLogLS(
-      log4cxx::Level::getInfo(),
-      WithoutInvalidBytes(boost::json::serialize(line)),
-      log4cxx::spi::LocationInfo::getLocationUnavailable());
+    impl_->logger_->forcedLog(log4cxx::Level::getInfo(),
+                              ToAscii(boost::json::serialize(line)));
   }
 }
--- a/Tests/Runtime/testEventLog.cxx
+++ b/Tests/Runtime/testEventLog.cxx
@@ -44,7 +44,7 @@
     gpServiceKey{ gpServiceName("pond-order"), gpSubmissionKey("k \"1\"") };
   event.peer_ = gpIncarnation(0xffffffffffffffffU);
   event.number_ = 18446744073709551615U;
-  event.detail_ = "line\nfeed and \xc3\xa4";
+  event.detail_ = "line\nfeed, \xc3\xa4, \xe2\x82\xac and \xf0\x9f\x8c\xbf";
   return event;
 }
 
@@ -108,8 +108,13 @@
   gpTimelineEvent event;
   event.detail_ = "a\xff\x01z";
   log.Write(event);
+  event.detail_ = "\xe2\x82";
+  log.Write(event);
+  event.detail_ = "\xed\xa0\x80";
+  log.Write(event);
   const auto file = gpTimelineReader::ReadFile(file_);
-  BOOST_TEST_REQUIRE(file->records_.size() == 1U);
+  BOOST_TEST(file->errors_.empty());
+  BOOST_TEST_REQUIRE(file->records_.size() == 3U);
   BOOST_TEST(file->records_[0].event_.detail_ == "a?\x01z");
 }
 
