--- /dev/null
+++ b/Source/Configuration/gpJsonReader.cxx
@@ -0,0 +1,486 @@
+#include "gpJsonReader.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/json/basic_parser_impl.hpp>
+
+#include "gpAddressText.h"
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::size_t kMaxNameLength = 64;
+constexpr std::size_t kHexDigits = 16;
+
+// Boost.JSON's own parser keeps the last of two equal keys without a word, so
+// a pass of its own looks for them.
+class DuplicateKeyHandler
+{
+public:
+  // NOLINTBEGIN(readability-identifier-naming): names that Boost.JSON asks for.
+  static constexpr std::size_t max_object_size = static_cast<std::size_t>(-1);
+  static constexpr std::size_t max_array_size = static_cast<std::size_t>(-1);
+  static constexpr std::size_t max_key_size = static_cast<std::size_t>(-1);
+  static constexpr std::size_t max_string_size = static_cast<std::size_t>(-1);
+
+  bool on_document_begin(json::error_code&) { return true; }
+  bool on_document_end(json::error_code&) { return true; }
+  bool on_object_begin(json::error_code&) { return Open(false); }
+  bool on_object_end(std::size_t, json::error_code&) { return Close(); }
+  bool on_array_begin(json::error_code&) { return Open(true); }
+  bool on_array_end(std::size_t, json::error_code&) { return Close(); }
+  bool on_key_part(json::string_view aPart, std::size_t, json::error_code&)
+  {
+    keyText_.append(aPart.data(), aPart.size());
+    return true;
+  }
+  bool on_key(json::string_view aPart, std::size_t, json::error_code&)
+  {
+    keyText_.append(aPart.data(), aPart.size());
+    TakeKey();
+    return true;
+  }
+  bool on_string_part(json::string_view, std::size_t, json::error_code&)
+  {
+    return true;
+  }
+  bool on_string(json::string_view, std::size_t, json::error_code&)
+  {
+    return NextValue();
+  }
+  bool on_number_part(json::string_view, json::error_code&) { return true; }
+  bool on_int64(std::int64_t, json::string_view, json::error_code&)
+  {
+    return NextValue();
+  }
+  bool on_uint64(std::uint64_t, json::string_view, json::error_code&)
+  {
+    return NextValue();
+  }
+  bool on_double(double, json::string_view, json::error_code&)
+  {
+    return NextValue();
+  }
+  bool on_bool(bool, json::error_code&) { return NextValue(); }
+  bool on_null(json::error_code&) { return NextValue(); }
+  bool on_comment_part(json::string_view, json::error_code&) { return true; }
+  bool on_comment(json::string_view, json::error_code&) { return true; }
+  // NOLINTEND(readability-identifier-naming)
+
+  gpJsonErrors errors_;
+
+private:
+  struct Frame
+  {
+    bool isArray_ = false;
+    std::size_t values_ = 0;
+    std::string key_;
+    std::set<std::string> keys_;
+  };
+
+  bool Open(bool aIsArray)
+  {
+    NextValue();
+    frames_.emplace_back().isArray_ = aIsArray;
+    return true;
+  }
+  bool Close()
+  {
+    frames_.pop_back();
+    return true;
+  }
+  bool NextValue()
+  {
+    if (!frames_.empty()) {
+      ++frames_.back().values_;
+    }
+    return true;
+  }
+  void TakeKey()
+  {
+    Frame& frame = frames_.back();
+    frame.key_ = std::exchange(keyText_, {});
+    if (!frame.keys_.insert(frame.key_).second) {
+      errors_.push_back({ Path(), "the key once, not again" });
+    }
+  }
+  std::string Path() const
+  {
+    std::string path;
+    for (const Frame& frame : frames_) {
+      const std::string index = std::to_string(frame.values_ - 1);
+      path = gpJsonPath(path, frame.isArray_ ? index : frame.key_);
+    }
+    return path;
+  }
+
+  std::vector<Frame> frames_;
+  std::string keyText_;
+};
+
+std::string
+SyntaxErrorText(std::string_view aText,
+                std::size_t aConsumed,
+                const json::error_code& aError)
+{
+  const std::string_view before = aText.substr(0, aConsumed);
+  const auto line = 1 + std::count(before.begin(), before.end(), '\n');
+  const std::size_t lineStart = before.rfind('\n') + 1;
+  return "JSON; at line " + std::to_string(line) + ", column " +
+         std::to_string(before.size() - lineStart + 1) + ": " +
+         aError.message();
+}
+
+// Checks the syntax and finds all duplicate keys.
+gpJsonErrors
+Scan(std::string_view aText)
+{
+  json::basic_parser<DuplicateKeyHandler> parser{ json::parse_options() };
+  json::error_code error;
+  const std::size_t consumed =
+    parser.write_some(false, aText.data(), aText.size(), error);
+  if (!error && consumed < aText.size()) {
+    error = json::error::extra_data;
+  }
+  if (error) {
+    return { { "", SyntaxErrorText(aText, consumed, error) } };
+  }
+  return std::move(parser.handler().errors_);
+}
+
+bool
+IsName(std::string_view aText)
+{
+  const auto isNameCharacter = [](char aCharacter) {
+    return (aCharacter >= 'a' && aCharacter <= 'z') ||
+           (aCharacter >= '0' && aCharacter <= '9') || aCharacter == '-';
+  };
+  return !aText.empty() && aText.size() <= kMaxNameLength &&
+         std::all_of(aText.begin(), aText.end(), isNameCharacter);
+}
+
+std::string
+RangeText(gpNumberRange aRange)
+{
+  std::string text = "an integer of at least " + std::to_string(aRange.min_);
+  if (aRange.max_ == gpNumberRange{}.max_) {
+    return text;
+  }
+  return "an integer from " + std::to_string(aRange.min_) + " to " +
+         std::to_string(aRange.max_);
+}
+
+std::optional<std::uint64_t>
+ToUnsigned(const json::value& aValue)
+{
+  if (aValue.is_uint64()) {
+    return aValue.get_uint64();
+  }
+  if (aValue.is_int64() && aValue.get_int64() >= 0) {
+    return static_cast<std::uint64_t>(aValue.get_int64());
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+const gpTextRule kNameRule = {
+  IsName,
+  "a name of 1 to 64 characters of a-z, 0-9 and '-'",
+};
+const gpTextRule kAddressRule = {
+  [](std::string_view aText) { return gpIsAddress(aText, gpPortRule::Real); },
+  "an IP number and a port, such as \"10.0.0.1:8080\"",
+};
+const gpTextRule kListenRule = {
+  [](std::string_view aText) { return gpIsAddress(aText, gpPortRule::Any); },
+  "an IP number and a port, such as \"10.0.0.1:8080\"; port 0 takes a free "
+  "one",
+};
+const gpTextRule kIncarnationRule = {
+  [](std::string_view aText) { return gpParseHex16(aText).has_value(); },
+  "16 hexadecimal digits in lower case, not all 0",
+};
+const gpTextRule kNonEmptyRule = {
+  [](std::string_view aText) { return !aText.empty(); },
+  "a string that isn't empty",
+};
+const gpTextRule kAnyTextRule = {
+  [](std::string_view) { return true; },
+  "a string",
+};
+
+gpJsonDocument
+gpJsonDocument::Parse(std::string_view aText)
+{
+  gpJsonDocument document;
+  document.errors_ = Scan(aText);
+  json::error_code error;
+  document.root_ = json::parse(json::string_view(aText), error);
+  document.parsed_ = !error;
+  return document;
+}
+
+gpJsonObject::gpJsonObject(const json::value& aValue,
+                           std::string aPath,
+                           gpJsonErrors& aErrors)
+  : object_(aValue.if_object())
+  , path_(std::move(aPath))
+  , errors_(&aErrors)
+{
+  if (object_ == nullptr) {
+    errors_->push_back({ path_, "an object" });
+  }
+}
+
+std::string
+gpJsonObject::PathOf(std::string_view aKey) const
+{
+  return gpJsonPath(path_, aKey);
+}
+
+bool
+gpJsonObject::Has(std::string_view aKey) const
+{
+  return object_ != nullptr && object_->contains(aKey);
+}
+
+bool
+gpJsonObject::HasEmptyList(std::string_view aKey) const
+{
+  const json::value* value =
+    object_ == nullptr ? nullptr : object_->if_contains(aKey);
+  return value != nullptr && value->is_array() && value->get_array().empty();
+}
+
+const json::value*
+gpJsonObject::Find(std::string_view aKey)
+{
+  known_.push_back(aKey);
+  return object_ == nullptr ? nullptr : object_->if_contains(aKey);
+}
+
+void
+gpJsonObject::AddError(std::string_view aKey, std::string aExpected)
+{
+  errors_->push_back({ PathOf(aKey), std::move(aExpected) });
+}
+
+const json::value*
+gpJsonObject::FindPresent(std::string_view aKey,
+                          const std::string& aExpected,
+                          gpPresence aPresence)
+{
+  const json::value* value = Find(aKey);
+  const bool missing = object_ != nullptr && value == nullptr;
+  if (missing && aPresence == gpPresence::Required) {
+    AddError(aKey, aExpected + "; the field is missing");
+  }
+  return value;
+}
+
+std::optional<std::uint64_t>
+gpJsonObject::ReadNumber(std::string_view aKey,
+                         gpNumberRange aRange,
+                         gpPresence aPresence)
+{
+  const json::value* value = FindPresent(aKey, RangeText(aRange), aPresence);
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  const auto number = ToUnsigned(*value);
+  if (!number || *number < aRange.min_ || *number > aRange.max_) {
+    AddError(aKey, RangeText(aRange));
+    return std::nullopt;
+  }
+  return number;
+}
+
+void
+gpJsonObject::Millis(std::string_view aKey,
+                     gpMillis& aTarget,
+                     gpNumberRange aRange)
+{
+  if (const auto number = ReadNumber(aKey, aRange, gpPresence::Optional)) {
+    aTarget = gpMillis(*number);
+  }
+}
+
+void
+gpJsonObject::Flag(std::string_view aKey, bool& aTarget)
+{
+  const json::value* value = Find(aKey);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_bool()) {
+    AddError(aKey, "true or false");
+    return;
+  }
+  aTarget = value->get_bool();
+}
+
+void
+gpJsonObject::Text(std::string_view aKey,
+                   std::string& aTarget,
+                   const gpTextRule& aRule,
+                   gpPresence aPresence)
+{
+  const json::value* value = FindPresent(aKey, aRule.expected_, aPresence);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_string() || !aRule.accepts_(value->get_string())) {
+    AddError(aKey, aRule.expected_);
+    return;
+  }
+  aTarget = value->get_string();
+}
+
+const json::array*
+gpJsonObject::FindList(std::string_view aKey, gpPresence aPresence)
+{
+  const json::value* value = FindPresent(aKey, "a list", aPresence);
+  if (value == nullptr) {
+    return nullptr;
+  }
+  if (!value->is_array()) {
+    AddError(aKey, "a list");
+  }
+  return value->if_array();
+}
+
+std::vector<gpJsonText>
+gpJsonObject::Texts(std::string_view aKey,
+                    const gpTextRule& aRule,
+                    gpPresence aPresence)
+{
+  std::vector<gpJsonText> texts;
+  const json::array* list = FindList(aKey, aPresence);
+  if (list == nullptr) {
+    return texts;
+  }
+  std::set<std::string_view> seen;
+  for (std::size_t i = 0; i < list->size(); ++i) {
+    const json::value& value = (*list)[i];
+    const std::string path = gpJsonPath(PathOf(aKey), std::to_string(i));
+    if (!value.is_string() || !aRule.accepts_(value.get_string())) {
+      errors_->push_back({ path, aRule.expected_ });
+    } else if (!seen.insert(value.get_string()).second) {
+      errors_->push_back({ path, "each value once, not again" });
+    } else {
+      texts.push_back({ path, std::string(value.get_string()) });
+    }
+  }
+  return texts;
+}
+
+std::vector<std::uint64_t>
+gpJsonObject::Numbers(std::string_view aKey, gpNumberRange aRange)
+{
+  std::vector<std::uint64_t> numbers;
+  const json::array* list = FindList(aKey, gpPresence::Optional);
+  if (list == nullptr) {
+    return numbers;
+  }
+  for (const json::value& value : *list) {
+    const auto number = ToUnsigned(value);
+    if (!number || *number < aRange.min_ || *number > aRange.max_) {
+      AddError(aKey, "a list of " + RangeText(aRange));
+      break;
+    }
+    numbers.push_back(*number);
+  }
+  return numbers;
+}
+
+gpJsonObject
+gpJsonObject::Object(std::string_view aKey)
+{
+  static const json::value kNoFields = json::object();
+  const json::value* value = Find(aKey);
+  return { value == nullptr ? kNoFields : *value, PathOf(aKey), *errors_ };
+}
+
+void
+gpJsonObject::Objects(std::string_view aKey,
+                      const std::function<void(gpJsonObject&)>& aRead,
+                      gpPresence aPresence)
+{
+  const json::array* list = FindList(aKey, aPresence);
+  if (list == nullptr) {
+    return;
+  }
+  const std::string path = PathOf(aKey);
+  for (std::size_t i = 0; i < list->size(); ++i) {
+    gpJsonObject element(
+      (*list)[i], gpJsonPath(path, std::to_string(i)), *errors_);
+    aRead(element);
+  }
+}
+
+void
+gpJsonObject::Members(
+  const gpTextRule& aNames,
+  const std::function<void(const std::string&, gpJsonObject&)>& aRead)
+{
+  if (object_ == nullptr) {
+    return;
+  }
+  for (const json::key_value_pair& member : *object_) {
+    const std::string name(member.key());
+    if (!aNames.accepts_(name)) {
+      AddError(name, std::string("as the key ") + aNames.expected_);
+    }
+    gpJsonObject object(member.value(), PathOf(name), *errors_);
+    aRead(name, object);
+  }
+}
+
+void
+gpJsonObject::Finish()
+{
+  if (object_ == nullptr) {
+    return;
+  }
+  for (const json::key_value_pair& member : *object_) {
+    const std::string_view key = member.key();
+    if (std::find(known_.begin(), known_.end(), key) == known_.end()) {
+      AddError(key, "no field of this name");
+    }
+  }
+}
+
+std::string
+gpJsonPath(const std::string& aParent, std::string_view aStep)
+{
+  std::string path = aParent + "/";
+  for (const char character : aStep) {
+    if (character == '~') {
+      path += "~0";
+    } else if (character == '/') {
+      path += "~1";
+    } else {
+      path += character;
+    }
+  }
+  return path;
+}
+
+std::optional<std::uint64_t>
+gpParseHex16(std::string_view aText)
+{
+  const auto isHexDigit = [](char aCharacter) {
+    return (aCharacter >= '0' && aCharacter <= '9') ||
+           (aCharacter >= 'a' && aCharacter <= 'f');
+  };
+  if (aText.size() != kHexDigits ||
+      !std::all_of(aText.begin(), aText.end(), isHexDigit)) {
+    return std::nullopt;
+  }
+  std::uint64_t value = 0;
+  std::from_chars(aText.data(), aText.data() + aText.size(), value, 16);
+  return value == 0 ? std::nullopt : std::optional(value);
+}
--- a/Source/Model/gpConfiguration.h
+++ b/Source/Model/gpConfiguration.h
@@ -108,6 +108,8 @@
   /// Address of the guard beside the target.
   gpAddress guard_;
 
+  // A false positive of clang-tidy 14, see gpStrongType.h.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const gpDrain&) const = default;
 };
 
@@ -130,6 +132,6 @@
   gpConfiguration configuration_;
   /// The file's canonical text, for handing on to other processes.
   std::string text_;
-  /// Digest of text_.
+  /// The apply that put it in force.
   gpApplyId applyId_;
 };
