--- /dev/null
+++ b/Tests/Configuration/testSettingsFile.cxx
@@ -0,0 +1,86 @@
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+#include "gpError.h"
+#include "gpSettingsFile.h"
+
+namespace {
+
+// Settings with all that is required; the rack and further fields are given.
+std::string
+Settings(const std::string& aRack, const std::string& aMore)
+{
+  return R"({"name": "entry-1",
+    "site": {"region": "gulf-south", "data_centre": "dc-1")" +
+         aRack + R"(},
+    "http": {"listen": "127.0.0.1:0"}, 
+    "links": {"listen": "127.0.0.1:7000", "advertise": "127.0.0.1:7100"},
+    "log_service": {"address": "127.0.0.1:9000"})" +
+         aMore + "}";
+}
+
+const std::string kRack = R"(, "rack": "r1")";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SettingsFile)
+
+BOOST_AUTO_TEST_CASE(ReadsTheSettingsOfAnEntry)
+{
+  const auto entry = gpParseEntrySettings("entry.json", Settings("", ""));
+  BOOST_REQUIRE_MESSAGE(entry.ok(), gpErrorText(entry.status()));
+  BOOST_TEST(entry->name_ == "entry-1");
+  BOOST_TEST(entry->site_.region_.value_ == "gulf-south");
+  BOOST_TEST(entry->site_.dataCentre_.value_ == "dc-1");
+  BOOST_TEST(entry->site_.rack_.value_.empty());
+  BOOST_TEST(entry->httpListen_.value_ == "127.0.0.1:0");
+  BOOST_TEST(entry->linkListen_.value_ == "127.0.0.1:7000");
+  BOOST_TEST(entry->linkAdvertise_.value_ == "127.0.0.1:7100");
+  BOOST_TEST(entry->logService_.value_ == "127.0.0.1:9000");
+  BOOST_TEST(entry->eventLog_ == "-");
+  BOOST_TEST(entry->timings_.claimReply_.count() == 250);
+}
+
+BOOST_AUTO_TEST_CASE(ReadsTheSettingsOfAGuard)
+{
+  const auto guard = gpParseGuardSettings("guard.json", Settings(kRack, R"(,
+      "entries": ["127.0.0.1:7001", "127.0.0.1:7002"],
+      "event_log": {"file": "events.jsonl"},
+      "timings": {"heartbeat_ms": 1, "link_silence_ms": 2, "claim_reply_ms": 3,
+                  "claim_total_ms": 4, "in_doubt_ms": 5,
+                  "member_removal_ms": 6, "shutdown_ms": 0})"));
+  BOOST_REQUIRE_MESSAGE(guard.ok(), gpErrorText(guard.status()));
+  BOOST_TEST(guard->site_.rack_.value_ == "r1");
+  BOOST_TEST(guard->entries_.size() == 2U);
+  BOOST_TEST(guard->eventLog_ == "events.jsonl");
+  BOOST_TEST(guard->timings_.heartbeat_.count() == 1);
+  BOOST_TEST(guard->timings_.linkSilence_.count() == 2);
+  BOOST_TEST(guard->timings_.claimReply_.count() == 3);
+  BOOST_TEST(guard->timings_.claimTotal_.count() == 4);
+  BOOST_TEST(guard->timings_.inDoubt_.count() == 5);
+  BOOST_TEST(guard->timings_.memberRemoval_.count() == 6);
+  BOOST_TEST(guard->timings_.shutdown_.count() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ErrorsNameFilePathAndExpectation)
+{
+  const auto guard = gpParseGuardSettings("g.json", Settings("", R"(,
+      "entries": ["127.0.0.1:0"], "timings": {"heartbeat_ms": 3000}, "x": 1)"));
+  BOOST_TEST((gpErrorCodeOf(guard.status()) == gpErrorCode::BadSettings));
+  BOOST_TEST(
+    gpErrorText(guard.status()) ==
+    "g.json#/site/rack: expected a name of 1 to 64 characters of a-z, 0-9 and "
+    "'-'; the field is missing\n"
+    "g.json#/timings/link_silence_ms: expected more than heartbeat_ms\n"
+    "g.json#/entries/0: expected an IP number and a port, such as "
+    "\"10.0.0.1:8080\"\n"
+    "g.json#/x: expected no field of this name");
+  const auto entry =
+    gpParseEntrySettings("e.json", Settings("", R"(, "entries": [])"));
+  BOOST_TEST(gpErrorText(entry.status()) ==
+             "e.json#/entries: expected no field of this name");
+  BOOST_TEST(!gpParseEntrySettings("e.json", "").ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
