--- /dev/null
+++ b/Source/Configuration/gpConfigurationStream.cxx
@@ -0,0 +1,150 @@
+#include "gpConfigurationStream.h"
+
+#include <array>
+
+#include "gpConfigurationFile.h"
+
+namespace {
+
+constexpr std::array<std::string_view, 7> kVerdictNames = {
+  "accepted",      "taken_over", "repeated",   "conflict",
+  "wrong_version", "bad_file",   "bad_record",
+};
+
+struct Judgement
+{
+  gpConfigurationVerdict verdict_ = gpConfigurationVerdict::Accepted;
+  absl::Status why_;
+};
+
+std::string
+Text(gpConfigVersion aVersion)
+{
+  return std::to_string(aVersion.value_);
+}
+
+// The rule uses nothing but the record and the state, because a reader that
+// began at a checkpoint knows nothing else and must judge as all others do.
+Judgement
+Judge(const gpVersionedConfiguration& aState, const gpApplyRecord& aApply)
+{
+  if (aApply.applyId_ == aState.applyId_) {
+    return { gpConfigurationVerdict::Repeated, absl::OkStatus() };
+  }
+  if (aApply.base_ != aState.version_) {
+    return { gpConfigurationVerdict::Conflict,
+             gpMakeError(gpErrorCode::VersionConflict,
+                         "made from version " + Text(aApply.base_) +
+                           ", but version " + Text(aState.version_) +
+                           " was in force") };
+  }
+  if (aApply.version_.value_ != aApply.base_.value_ + 1) {
+    return { gpConfigurationVerdict::WrongVersion,
+             gpMakeError(gpErrorCode::BadRecord,
+                         "version " + Text(aApply.version_) +
+                           " doesn't follow base " + Text(aApply.base_)) };
+  }
+  if (!aApply.file_.ok()) {
+    return { gpConfigurationVerdict::BadFile, aApply.file_.status() };
+  }
+  return {};
+}
+
+} // namespace
+
+std::string_view
+gpVerdictName(gpConfigurationVerdict aVerdict)
+{
+  return kVerdictNames.at(static_cast<std::size_t>(aVerdict));
+}
+
+gpConfigurationStream::gpConfigurationStream(Handler aHandler)
+  : handler_(std::move(aHandler))
+{
+}
+
+absl::StatusOr<bool>
+gpConfigurationStream::Adopt(const gpConfigurationNews& aNews)
+{
+  const gpConfigVersion mine = GetState().version_;
+  if (aNews.version_ < mine || (aNews.version_ == mine && IsCurrent())) {
+    return false;
+  }
+  absl::StatusOr<gpConfiguration> file = gpParseConfiguration(aNews.text_);
+  if (!file.ok()) {
+    return file.status();
+  }
+  std::string text = gpRenderConfiguration(*file);
+  return Offer(
+    { aNews.version_, *std::move(file), std::move(text), aNews.applyId_ },
+    aNews.asOf_);
+}
+
+std::optional<gpConfigurationNews>
+gpConfigurationStream::MakeNews() const
+{
+  const gpVersionedConfiguration& state = GetState();
+  const auto asOf = AsOf();
+  if (state.version_ == gpConfigVersion() || !asOf) {
+    return std::nullopt;
+  }
+  return gpConfigurationNews{
+    state.version_, state.applyId_, *asOf, state.text_
+  };
+}
+
+absl::StatusOr<gpConfigurationStream::Record>
+gpConfigurationStream::Parse(const std::string& aData) const
+{
+  return gpParseConfigurationRecord(aData);
+}
+
+std::uint64_t
+gpConfigurationStream::ProgressOf(const gpVersionedConfiguration& aState) const
+{
+  return aState.version_.value_;
+}
+
+void
+gpConfigurationStream::Apply(gpVersionedConfiguration& aState,
+                             const gpApplyRecord& aApply,
+                             gpLogOffset aOffset)
+{
+  Judgement judgement = Judge(aState, aApply);
+  if (judgement.verdict_ == gpConfigurationVerdict::Accepted) {
+    aState.version_ = aApply.version_;
+    aState.configuration_ = *aApply.file_;
+    aState.text_ = gpRenderConfiguration(*aApply.file_);
+    aState.applyId_ = aApply.applyId_;
+  }
+  handler_({ judgement.verdict_,
+             aOffset,
+             aApply.applyId_,
+             aApply.version_,
+             aState.version_,
+             std::move(judgement.why_) });
+}
+
+void
+gpConfigurationStream::OnTakenOver(const gpVersionedConfiguration& aState,
+                                   gpLogOffset aAsOf)
+{
+  handler_({ gpConfigurationVerdict::TakenOver,
+             aAsOf,
+             aState.applyId_,
+             aState.version_,
+             aState.version_,
+             absl::OkStatus() });
+}
+
+void
+gpConfigurationStream::OnBadRecord(gpLogOffset aOffset,
+                                   const absl::Status& aWhy)
+{
+  handler_({ gpConfigurationVerdict::BadRecord,
+             aOffset,
+             gpApplyId(),
+             gpConfigVersion(),
+             GetState().version_,
+             aWhy });
+}
--- /dev/null
+++ b/Source/Configuration/gpRosterStream.cxx
@@ -0,0 +1,112 @@
+#include "gpRosterStream.h"
+
+#include <algorithm>
+
+namespace {
+
+/// From this number of members on, claims of a service can be granted.
+constexpr std::ptrdiff_t kFormingMembers = 2;
+
+void
+UpdateFormed(gpRoster& aRoster, const gpServiceName& aService)
+{
+  if (aRoster.formed_.contains(aService)) {
+    return;
+  }
+  const auto isOfService = [&](const auto& aMember) {
+    return aMember.second.service_ == aService;
+  };
+  const auto members = std::count_if(
+    aRoster.members_.begin(), aRoster.members_.end(), isOfService);
+  if (members >= kFormingMembers) {
+    aRoster.formed_[aService] = true;
+  }
+}
+
+// Both return whether the roster changed.
+bool
+Change(gpRoster& aRoster, const gpJoinRecord& aJoin)
+{
+  const gpMember& member = aJoin.member_;
+  if (!aRoster.members_.emplace(member.guard_, member).second) {
+    return false;
+  }
+  UpdateFormed(aRoster, member.service_);
+  return true;
+}
+
+bool
+Change(gpRoster& aRoster, const gpRemoveRecord& aRemove)
+{
+  std::size_t removed = 0;
+  for (const gpIncarnation guard : aRemove.guards_) {
+    removed += aRoster.members_.erase(guard);
+  }
+  return removed > 0;
+}
+
+} // namespace
+
+gpRosterStream::gpRosterStream(Handler aHandler)
+  : handler_(std::move(aHandler))
+{
+}
+
+bool
+gpRosterStream::Adopt(const gpRosterNews& aNews)
+{
+  const gpRosterEpoch epoch = aNews.roster_.epoch_;
+  if (GetState().epoch_ != gpRosterEpoch() || epoch == gpRosterEpoch()) {
+    return false;
+  }
+  // Records after the one that made the epoch changed nothing; folding them
+  // again changes nothing either.
+  return Offer(aNews.roster_, gpLogOffset(epoch.value_ - 1));
+}
+
+std::optional<gpRosterNews>
+gpRosterStream::MakeNews() const
+{
+  if (GetState().epoch_ == gpRosterEpoch()) {
+    return std::nullopt;
+  }
+  return gpRosterNews{ GetState() };
+}
+
+absl::StatusOr<gpRosterStream::Record>
+gpRosterStream::Parse(const std::string& aData) const
+{
+  return gpParseRosterRecord(aData);
+}
+
+std::uint64_t
+gpRosterStream::ProgressOf(const gpRoster& aState) const
+{
+  return aState.epoch_.value_;
+}
+
+void
+gpRosterStream::Apply(gpRoster& aState,
+                      const gpRosterChange& aChange,
+                      gpLogOffset aOffset)
+{
+  const bool changed = std::visit(
+    [&](const auto& aRecord) { return Change(aState, aRecord); }, aChange);
+  if (!changed) {
+    return;
+  }
+  aState.epoch_ = gpRosterEpoch(aOffset.value_ + 1);
+  handler_({ gpRosterStep::Changed, aOffset, aState, absl::OkStatus() });
+}
+
+void
+gpRosterStream::OnTakenOver(const gpRoster& aState, gpLogOffset aAsOf)
+{
+  handler_({ gpRosterStep::TakenOver, aAsOf, aState, absl::OkStatus() });
+}
+
+void
+gpRosterStream::OnBadRecord(gpLogOffset aOffset, const absl::Status& aWhy)
+{
+  handler_({ gpRosterStep::BadRecord, aOffset, GetState(), aWhy });
+}
