--- a/Source/Model/gpProcessSettings.h
+++ b/Source/Model/gpProcessSettings.h
@@ -48,6 +48,8 @@
   gpAddress httpListen_;
   /// Where other processes of the system connect.
   gpAddress linkListen_;
+  /// The address for links that is told to others; empty: the one in use.
+  gpAddress linkAdvertise_;
   gpAddress logService_;
   /// File of the event log; "-" is the standard output.
   std::string eventLog_ = "-";
@@ -65,6 +67,8 @@
   gpAddress httpListen_;
   /// Where other processes of the system connect.
   gpAddress linkListen_;
+  /// The address for links that is told to others; empty: the one in use.
+  gpAddress linkAdvertise_;
   gpAddress logService_;
   /// Entries to announce the target to while the log service is down.
   std::vector<gpAddress> entries_;
