--- a/Source/Configuration/gpConfigurationFile.cxx
+++ b/Source/Configuration/gpConfigurationFile.cxx
@@ -11,7 +11,6 @@
 constexpr std::uint64_t kMaxBodyBytes = 64U << 20U;
 constexpr std::uint64_t kMaxAttempts = 100;
 constexpr std::uint64_t kMaxBudgetPercent = 1000;
-constexpr std::uint64_t kMaxPartitions = 4096;
 constexpr std::uint64_t kMaxFailures = 1000;
 constexpr std::uint64_t kMaxEjectedPercent = 100;
 constexpr std::uint64_t kMaxWeight = 1000;
@@ -61,7 +60,7 @@
            gpClaimSettings& aClaims)
 {
   aObject.Millis("retention_ms", aClaims.retention_, { 1, kDayMs });
-  aObject.Number("partitions", aClaims.partitions_, { 1, kMaxPartitions });
+  aObject.Millis("log_silence_ms", aClaims.logSilence_, { 1000, kDayMs });
   const gpMillis least = kRetentionFactor * aLimits.maxDeadline_;
   if (aClaims.retention_ < least) {
     aObject.AddError("retention_ms",
@@ -153,7 +152,7 @@
   };
   object["claims"] = {
     { "retention_ms", aService.claims_.retention_.count() },
-    { "partitions", aService.claims_.partitions_ },
+    { "log_silence_ms", aService.claims_.logSilence_.count() },
   };
   object["ejection"] = {
     { "failures", aService.ejection_.failures_ },
--- a/Source/Decision/gpEntryJobs.cxx
+++ b/Source/Decision/gpEntryJobs.cxx
@@ -120,6 +120,10 @@
     return;
   }
   gpJob job = MakeJob(aEvent, aNow);
+  if (job.submission_.deadline_ == gpMillis(0)) {
+    job.submission_.deadline_ = DefaultDeadline(job.submission_.service_);
+    job.deadlineAt_ = aNow + job.submission_.deadline_;
+  }
   const gpServiceName& service = job.submission_.service_;
   if (closed_) {
     const gpFailure failure =
@@ -582,6 +586,14 @@
   }
 }
 
+gpMillis
+gpEntryJobs::DefaultDeadline(const gpServiceName& aService) const
+{
+  const gpServiceConfig* service = admission_.FindService(aService);
+  return service == nullptr ? gpLimits{}.defaultDeadline_
+                            : service->limits_.defaultDeadline_;
+}
+
 gpMillis
 gpEntryJobs::RetentionOf(const gpServiceName& aService) const
 {
--- a/Source/Decision/gpEntryJobs.h
+++ b/Source/Decision/gpEntryJobs.h
@@ -86,6 +86,7 @@
   void AnswerAttachers(gpJob& aJob,
                        const std::optional<gpAnswer>& aAnswer,
                        gpEffects& aOut);
+  gpMillis DefaultDeadline(const gpServiceName& aService) const;
   gpMillis RetentionOf(const gpServiceName& aService) const;
 
   gpJobTable& jobs_;
--- a/Source/Decision/gpEntryReducer.cxx
+++ b/Source/Decision/gpEntryReducer.cxx
@@ -74,6 +74,11 @@
 void
 gpEntryReducer::On(const gpLinkOpened& aEvent)
 {
+  // A link that the other side dialed only carries what it asks for, so each
+  // pair of processes has one link for each direction of asking.
+  if (!aEvent.dialed_.has_value()) {
+    return;
+  }
   links_.Open(aEvent.link_, aEvent.peer_);
   if (aEvent.peer_.role_ == gpRole::Guard) {
     membership_.OnGuardLink(aEvent.link_, aEvent.peer_, now_, out_);
--- a/Source/Decision/gpGuardReducer.cxx
+++ b/Source/Decision/gpGuardReducer.cxx
@@ -48,13 +48,17 @@
 void
 gpGuardReducer::On(const gpLinkOpened& aEvent)
 {
-  links_.Open(aEvent.link_, aEvent.peer_);
-  if (aEvent.peer_.role_ == gpRole::Entry) {
-    if (announced_ && aEvent.dialed_.has_value()) {
-      out_.Send(aEvent.link_, gpAnnounce{ self_ });
-    }
+  const bool isDialed = aEvent.dialed_.has_value();
+  const bool isEntry = aEvent.peer_.role_ == gpRole::Entry;
+  if (isEntry && isDialed) {
+    // Dialed only to announce the target; the entry dials back for its work.
+    announceLinks_.insert(aEvent.link_);
+    Announce(aEvent.link_);
+  } else if (isEntry) {
+    links_.Open(aEvent.link_, aEvent.peer_);
     starts_.OnEntryLink(aEvent.link_, out_);
-  } else {
+  } else if (isDialed) {
+    links_.Open(aEvent.link_, aEvent.peer_);
     claims_.OnGuardLink(now_, out_);
   }
 }
@@ -63,6 +67,7 @@
 gpGuardReducer::On(const gpLinkLost& aEvent)
 {
   links_.Close(aEvent.link_);
+  announceLinks_.erase(aEvent.link_);
   starts_.OnLinkLost(aEvent.link_);
 }
 
@@ -156,10 +161,8 @@
   event.detail_ = aEvent.address_.value_;
   out_.Write(std::move(event));
   out_.Add(gpJoinRoster{ self_ });
-  for (const auto& [link, peer] : links_.GetPeers()) {
-    if (peer.role_ == gpRole::Entry) {
-      out_.Send(link, gpAnnounce{ self_ });
-    }
+  for (const gpLinkId link : announceLinks_) {
+    Announce(link);
   }
 }
 
@@ -236,6 +239,14 @@
   starts_.OnCancel(aLink, aMessage, now_, out_);
 }
 
+void
+gpGuardReducer::Announce(gpLinkId aLink)
+{
+  if (announced_ && !starts_.IsLeaving()) {
+    out_.Send(aLink, gpAnnounce{ self_ });
+  }
+}
+
 void
 gpGuardReducer::ApplyConfiguration()
 {
--- a/Source/Decision/gpGuardReducer.h
+++ b/Source/Decision/gpGuardReducer.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "gpConfiguration.h"
@@ -71,6 +72,7 @@
   {
   }
 
+  void Announce(gpLinkId aLink);
   void ApplyConfiguration();
   void ContinueLeaving();
   void ScheduleWake();
@@ -83,6 +85,8 @@
   gpGuardClaims claims_;
   gpGuardStarts starts_;
   std::optional<gpConfiguration> configuration_;
+  /// Links that were dialed to entries to announce the target.
+  std::set<gpLinkId> announceLinks_;
   bool announced_ = false;
   bool targetLeft_ = false;
   bool targetReleased_ = false;
--- a/Source/Model/gpSubmission.h
+++ b/Source/Model/gpSubmission.h
@@ -31,7 +31,8 @@
   gpServiceName service_;
   gpTeamName team_;
   std::optional<gpSubmissionKey> key_;
-  /// Time from the arrival at the entry within which the answer must be given.
+  /// Time from the arrival at the entry within which the answer must be given;
+  /// 0 for the service's default.
   gpMillis deadline_{ 0 };
   std::vector<gpTaskRequest> tasks_;
   /// Digest of the whole body; two submissions with one key must agree on it.
--- a/Tests/Configuration/testConfigurationFile.cxx
+++ b/Tests/Configuration/testConfigurationFile.cxx
@@ -17,7 +17,7 @@
       "limits": {"queue_tasks": 5, "job_tasks": 6, "body_bytes": 7,
                  "max_deadline_ms": 800, "default_deadline_ms": 700},
       "retries": {"max_attempts": 2, "budget_percent": 0},
-      "claims": {"retention_ms": 1600, "partitions": 4},
+      "claims": {"retention_ms": 1600, "log_silence_ms": 4000},
       "ejection": {"failures": 9, "probe_after_ms": 10, "max_percent": 11}
     }
   },
@@ -75,7 +75,7 @@
   BOOST_TEST(service.retries_.maxAttempts_ == 2U);
   BOOST_TEST(service.retries_.budgetPercent_ == 0U);
   BOOST_TEST(service.claims_.retention_.count() == 1600);
-  BOOST_TEST(service.claims_.partitions_ == 4U);
+  BOOST_TEST(service.claims_.logSilence_.count() == 4000);
   BOOST_TEST(service.ejection_.failures_ == 9U);
   BOOST_TEST(service.ejection_.probeAfter_.count() == 10);
   BOOST_TEST(service.ejection_.maxPercent_ == 11U);
@@ -93,7 +93,7 @@
   const auto& service = parsed->services_.at(gpServiceName("a"));
   BOOST_TEST((service.placement_ == gpPlacement::ExpectedFinish));
   BOOST_TEST(service.limits_.jobTasks_ == gpLimits().jobTasks_);
-  BOOST_TEST(service.claims_.partitions_ == gpClaimSettings().partitions_);
+  BOOST_TEST((service.claims_.logSilence_ == gpClaimSettings().logSilence_));
   BOOST_TEST(gpParseConfiguration("{}").ok());
 }
 
@@ -119,7 +119,7 @@
                        "body_bytes": 67108865, "max_deadline_ms": 1.5,
                        "default_deadline_ms": "10"},
             "retries": {"max_attempts": 101, "budget_percent": 1001},
-            "claims": {"retention_ms": -1, "partitions": 4097},
+            "claims": {"retention_ms": -1, "log_silence_ms": 4},
             "ejection": {"failures": 0, "probe_after_ms": 0,
                          "max_percent": 101}},
       "b": {}
@@ -139,7 +139,7 @@
                 "/services/a/retries/max_attempts",
                 "/services/a/retries/budget_percent",
                 "/services/a/claims/retention_ms",
-                "/services/a/claims/partitions",
+                "/services/a/claims/log_silence_ms",
                 "/services/a/ejection/failures",
                 "/services/a/ejection/probe_after_ms",
                 "/services/a/ejection/max_percent",
--- a/Tests/Configuration/testConfigurationStream.cxx
+++ b/Tests/Configuration/testConfigurationStream.cxx
@@ -109,7 +109,9 @@
   std::string wrongVersion = Apply(1, "d");
   wrongVersion.replace(wrongVersion.find("\"version\":2"), 11, "\"version\":3");
   std::string badFile = Apply(1, "e");
-  badFile.replace(badFile.find("\"partitions\":32"), 15, "\"partitions\":0 ");
+  badFile.replace(badFile.find("\"log_silence_ms\":3600000"),
+                  24,
+                  "\"log_silence_ms\":0      ");
   std::string twice = Apply(1, "f");
   twice.replace(twice.find("\"region\""), 8, "\"region\":\"x\",\"region\"");
   Reader reader;
@@ -139,7 +141,7 @@
                                                 Verdict::BadRecord }));
   const auto errors = gpErrorsOf(reader.events_[5].why_);
   BOOST_REQUIRE(errors.size() == 1U);
-  BOOST_TEST(errors[0].path_ == "/services/pond-order/claims/partitions");
+  BOOST_TEST(errors[0].path_ == "/services/pond-order/claims/log_silence_ms");
   reader.Read(11, { Apply(1, "h") });
   reader.Check(2, "h", true);
 }
