--- a/Source/Runtime/gpHttpServer.cxx
+++ b/Source/Runtime/gpHttpServer.cxx
@@ -75,6 +75,9 @@
   void CheckDeadlines();
   void CheckDrained();
   void Stop();
+  /// The session that holds the request, which then is answered; null if the
+  /// caller is gone.
+  std::shared_ptr<gpHttpSession> TakeRequest(gpRequestId aRequest);
   std::vector<std::shared_ptr<gpHttpSession>> GetSessions() const;
 
   gpEventLoop& loop_;
@@ -279,6 +282,18 @@
   return sessions;
 }
 
+std::shared_ptr<gpHttpSession>
+gpHttpServer::Impl::TakeRequest(gpRequestId aRequest)
+{
+  const auto entry = requests_.find(aRequest);
+  if (entry == requests_.end()) {
+    return nullptr;
+  }
+  auto session = sessions_.at(entry->second);
+  requests_.erase(entry);
+  return session;
+}
+
 gpHttpServer::gpHttpServer(gpEventLoop& aLoop,
                            gpHttpLimits aLimits,
                            Handlers aHandlers)
@@ -300,13 +315,17 @@
 void
 gpHttpServer::Respond(gpRequestId aRequest, gpHttpResponse aResponse)
 {
-  const auto entry = impl_->requests_.find(aRequest);
-  if (entry == impl_->requests_.end()) {
-    return;
+  if (const auto session = impl_->TakeRequest(aRequest)) {
+    session->Respond(std::move(aResponse));
+  }
+}
+
+void
+gpHttpServer::Abort(gpRequestId aRequest)
+{
+  if (const auto session = impl_->TakeRequest(aRequest)) {
+    session->Close();
   }
-  gpHttpSession* session = entry->second;
-  impl_->requests_.erase(entry);
-  session->Respond(std::move(aResponse));
 }
 
 void
--- a/Source/Runtime/gpHttpServer.h
+++ b/Source/Runtime/gpHttpServer.h
@@ -54,6 +54,9 @@
   absl::StatusOr<gpAddress> Listen(const gpAddress& aAddress);
   /// Answers a request once; ignored if the caller is gone.
   void Respond(gpRequestId aRequest, gpHttpResponse aResponse);
+  /// Closes the connection of a request without an answer; callerGone isn't
+  /// called. Ignored if the caller is gone.
+  void Abort(gpRequestId aRequest);
   /// Takes no more connections; closes each kept one after its answer. The
   /// handler is called when all responses have been written.
   void Drain(std::function<void()> aDrained);
