--- /dev/null
+++ b/Source/Runtime/gpWorkPool.cxx
@@ -0,0 +1,57 @@
+#include "gpWorkPool.h"
+
+#include <cstddef>
+#include <utility>
+
+#include <oneapi/tbb/global_control.h>
+#include <oneapi/tbb/task_arena.h>
+#include <oneapi/tbb/task_group.h>
+
+#include "gpEventLoop.h"
+
+namespace {
+
+/// The loop's thread never runs work, so no place is kept for it.
+constexpr unsigned kReservedPlaces = 0;
+
+} // namespace
+
+struct gpWorkPool::Impl
+{
+  Impl(gpEventLoop& aLoop, int aConcurrency)
+    : loop_(aLoop)
+    , threads_(tbb::global_control::max_allowed_parallelism,
+               static_cast<std::size_t>(aConcurrency) + 1)
+    , arena_(aConcurrency, kReservedPlaces)
+  {
+  }
+
+  gpEventLoop& loop_;
+  /// Without it, oneTBB starts fewer threads on machines with fewer processors.
+  /// The loop's thread counts as one.
+  tbb::global_control threads_;
+  tbb::task_arena arena_;
+  tbb::task_group group_;
+};
+
+gpWorkPool::gpWorkPool(gpEventLoop& aLoop, int aConcurrency)
+  : impl_(std::make_unique<Impl>(aLoop, aConcurrency))
+{
+}
+
+gpWorkPool::~gpWorkPool()
+{
+  impl_->group_.wait();
+}
+
+void
+gpWorkPool::Submit(std::function<void()> aWork, std::function<void()> aDone)
+{
+  gpEventLoop& loop = impl_->loop_;
+  // Unlike run, enqueue never makes the calling thread take part.
+  impl_->arena_.enqueue(impl_->group_.defer(
+    [&loop, work = std::move(aWork), done = std::move(aDone)]() noexcept {
+      work();
+      loop.Post(done);
+    }));
+}
