--- /dev/null
+++ b/Source/Entry/gpEntryProcess.cxx
@@ -0,0 +1,275 @@
+#include "gpEntryProcess.h"
+
+#include <optional>
+#include <utility>
+
+#include "gpJobJson.h"
+#include "gpLookupTarget.h"
+
+namespace {
+
+constexpr std::size_t kLogConnections = 8;
+constexpr int kWorkers = 2;
+constexpr int kNotFound = 404;
+/// Bodies up to this size are parsed on the event loop; a thread switch would
+/// take longer.
+constexpr std::size_t kSmallBody = 4096;
+
+gpProcessOptions
+MakeOptions(const gpEntrySettings& aSettings)
+{
+  gpProcessOptions options;
+  options.role_ = gpRole::Entry;
+  options.name_ = aSettings.name_;
+  options.httpListen_ = aSettings.httpListen_;
+  options.linkListen_ = aSettings.linkListen_;
+  options.linkAdvertise_ = aSettings.linkAdvertise_;
+  options.logService_ = aSettings.logService_;
+  options.eventLog_ = aSettings.eventLog_;
+  options.timings_ = aSettings.timings_;
+  return options;
+}
+
+gpHttpResponse
+ToHttp(gpRenderedAnswer aAnswer)
+{
+  return gpHttpResponse{ aAnswer.status_,
+                         std::move(aAnswer.contentType_),
+                         std::move(aAnswer.headers_),
+                         std::move(aAnswer.body_) };
+}
+
+absl::StatusOr<gpSubmission>
+ParseRequest(const gpHttpRequest& aHttp)
+{
+  std::optional<std::string> key;
+  const auto header = aHttp.headers_.find("idempotency-key");
+  if (header != aHttp.headers_.end()) {
+    key = header->second;
+  }
+  return gpParseSubmission(aHttp.body_, key);
+}
+
+} // namespace
+
+gpEntryProcess::gpEntryProcess(const gpEntrySettings& aSettings)
+  : timings_(aSettings.timings_)
+  , process_(MakeOptions(aSettings), kLogConnections, MakeHandlers())
+  , work_(process_.loop_, kWorkers)
+{
+}
+
+absl::Status
+gpEntryProcess::Open()
+{
+  absl::Status status = process_.Open();
+  if (!status.ok()) {
+    return status;
+  }
+  const gpPeer& self = process_.GetSelf();
+  reducer_ =
+    std::make_unique<gpEntryReducer>(self, timings_, self.incarnation_.value_);
+  process_.loop_.OnTerminate([this] { Reduce(gpShutdownRequested{}); });
+  process_.streams_.Start();
+  process_.streams_.PublishCheckpoints(self.incarnation_.value_);
+  Reduce(gpTimePassed{});
+  return status;
+}
+
+void
+gpEntryProcess::Run()
+{
+  process_.loop_.Run();
+}
+
+gpProcess::Handlers
+gpEntryProcess::MakeHandlers()
+{
+  gpProcess::Handlers handlers;
+  handlers.links_.up_ = [this](gpLinkId aLink,
+                               const gpPeer& aPeer,
+                               std::optional<gpAddress> aDialed) {
+    ReduceIfOpen(gpLinkOpened{ aLink, aPeer, std::move(aDialed) });
+  };
+  handlers.links_.down_ = [this](gpLinkId aLink, gpErrorCode aReason) {
+    ReduceIfOpen(gpLinkLost{ aLink, aReason });
+  };
+  handlers.links_.message_ = [this](gpLinkId aLink, gpMessage aMessage) {
+    ReduceIfOpen(gpMessageReceived{ aLink, std::move(aMessage) });
+  };
+  handlers.links_.dialFailed_ = [this](const gpAddress& aAddress,
+                                       gpErrorCode aReason) {
+    ReduceIfOpen(gpDialFailed{ aAddress, aReason });
+  };
+  handlers.http_.request_ = [this](gpRequestId aRequest, gpHttpRequest aHttp) {
+    OnRequest(aRequest, std::move(aHttp));
+  };
+  handlers.http_.callerGone_ = [this](gpRequestId aRequest) {
+    ReduceIfOpen(gpCallerGone{ aRequest });
+  };
+  handlers.streams_ = MakeStreamHandlers();
+  return handlers;
+}
+
+gpPlatformStreams::Handlers
+gpEntryProcess::MakeStreamHandlers()
+{
+  gpPlatformStreams::Handlers handlers;
+  handlers.configuration_ =
+    [this](const gpVersionedConfiguration& aConfiguration) {
+      ReduceIfOpen(gpConfigurationChanged{ aConfiguration });
+    };
+  handlers.rejected_ = [this](const gpConfigurationEvent& aEvent) {
+    process_.NoteRejected(aEvent);
+  };
+  handlers.roster_ = [this](const gpRoster& aRoster, bool aContiguous) {
+    ReduceIfOpen(gpRosterChanged{ aRoster, aContiguous });
+  };
+  handlers.contact_ = [] {};
+  handlers.health_ = [this](const absl::Status& aStatus) {
+    process_.NoteLogHealth(aStatus);
+  };
+  return handlers;
+}
+
+void
+gpEntryProcess::OnRequest(gpRequestId aRequest, gpHttpRequest aHttp)
+{
+  const bool ready = reducer_ && reducer_->GetStatus().ready_;
+  if (process_.AnswerCommon(aRequest, aHttp, ready, StatusFields())) {
+    return;
+  }
+  if (aHttp.method_ == "POST" && aHttp.target_ == "/v1/jobs") {
+    OnSubmission(aRequest, std::move(aHttp));
+  } else if (aHttp.method_ == "GET" &&
+             gpParseLookupTarget(aHttp.target_).has_value()) {
+    OnLookup(aRequest, aHttp);
+  } else {
+    gpHttpResponse response;
+    response.status_ = kNotFound;
+    response.contentType_ = "application/problem+json";
+    response.body_ = R"({"type":"about:blank","title":"no such resource",)"
+                     R"("status":404})";
+    process_.http_.Respond(aRequest, std::move(response));
+  }
+}
+
+void
+gpEntryProcess::OnSubmission(gpRequestId aRequest, gpHttpRequest aHttp)
+{
+  using Parsed = absl::StatusOr<gpSubmission>;
+  const auto parsed = std::make_shared<Parsed>(absl::UnknownError(""));
+  const auto finish = [this, aRequest, parsed] {
+    if (parsed->ok()) {
+      Reduce(gpJobSubmitted{ aRequest, std::move(**parsed) });
+      return;
+    }
+    gpTimelineEvent event;
+    event.kind_ = gpEventKind::BadInput;
+    event.detail_ = std::string(gpErrorName(gpErrorCodeOf(parsed->status())));
+    process_.Write(event);
+    process_.http_.Respond(
+      aRequest,
+      ToHttp(gpRenderFault(gpRequestFault::BadRequest,
+                           gpErrorText(parsed->status()))));
+  };
+  if (aHttp.body_.size() <= kSmallBody) {
+    *parsed = ParseRequest(aHttp);
+    finish();
+    return;
+  }
+  work_.Submit(
+    [parsed, http = std::move(aHttp)] { *parsed = ParseRequest(http); },
+    finish);
+}
+
+void
+gpEntryProcess::OnLookup(gpRequestId aRequest, const gpHttpRequest& aHttp)
+{
+  const gpLookupTarget lookup = *gpParseLookupTarget(aHttp.target_);
+  Reduce(gpJobQueried{ aRequest, lookup.key_, lookup.wait_ });
+}
+
+std::string
+gpEntryProcess::StatusFields() const
+{
+  if (!reducer_) {
+    return "";
+  }
+  const gpEntryStatus status = reducer_->GetStatus();
+  return ",\"jobs\":" + std::to_string(status.jobs_) +
+         ",\"waiting\":" + std::to_string(status.waiting_) +
+         ",\"in_flight\":" + std::to_string(status.inFlight_) +
+         ",\"linked\":" + std::to_string(status.linked_) +
+         ",\"ejected\":" + std::to_string(status.ejected_);
+}
+
+template<typename Input>
+void
+gpEntryProcess::Reduce(Input aInput)
+{
+  gpEntryEvent event;
+  event.now_ = gpEventLoop::Now();
+  event.input_ = std::move(aInput);
+  for (gpEffect& effect : reducer_->Reduce(event)) {
+    std::visit([this](auto& aEffect) { Carry(aEffect); }, effect);
+  }
+}
+
+template<typename Input>
+void
+gpEntryProcess::ReduceIfOpen(Input aInput)
+{
+  if (reducer_) {
+    Reduce(std::move(aInput));
+  }
+}
+
+void
+gpEntryProcess::Carry(gpSend& aEffect)
+{
+  process_.Send(aEffect.link_, std::move(aEffect.message_));
+}
+
+void
+gpEntryProcess::Carry(gpAnswerCaller& aEffect)
+{
+  process_.http_.Respond(aEffect.request_,
+                         ToHttp(gpRenderAnswer(aEffect.answer_)));
+}
+
+void
+gpEntryProcess::Carry(gpWatchAddress& aEffect)
+{
+  process_.links_.Watch(aEffect.address_);
+}
+
+void
+gpEntryProcess::Carry(gpUnwatchAddress& aEffect)
+{
+  process_.links_.Unwatch(aEffect.address_);
+}
+
+void
+gpEntryProcess::Carry(gpWakeAt& aEffect)
+{
+  process_.WakeAt(aEffect.when_, [this] { Reduce(gpTimePassed{}); });
+}
+
+void
+gpEntryProcess::Carry(gpWriteTimeline& aEffect)
+{
+  process_.Write(aEffect.event_);
+}
+
+void
+gpEntryProcess::Carry(gpRemoveMembers& aEffect)
+{
+  process_.roster_.Remove(aEffect.guards_);
+}
+
+void
+gpEntryProcess::Carry(gpStop&)
+{
+  process_.StopGracefully();
+}
--- a/Source/Process/gpDaemonOptions.cxx
+++ b/Source/Process/gpDaemonOptions.cxx
@@ -29,9 +29,9 @@
 {
   gpDaemonOptions options;
   po::options_description known("Options");
-  known.add_options()                                                 //
+  known.add_options()                                                   //
     ("config", po::value(&options.configFile_), "settings file (JSON)") //
-    ("help", "print this help")                                        //
+    ("help", "print this help")                                         //
     ("version", "print the version");
   po::variables_map values;
   try {
--- a/Source/Process/gpDaemonOptions.h
+++ b/Source/Process/gpDaemonOptions.h
@@ -27,4 +27,5 @@
 
 /// The whole text of a file; empty, with a message on the standard error, if
 /// it can't be read.
-bool gpReadFile(const std::string& aFile, std::string& aText);
+bool
+gpReadFile(const std::string& aFile, std::string& aText);
--- a/Source/Process/gpPlatformStreams.cxx
+++ b/Source/Process/gpPlatformStreams.cxx
@@ -30,9 +30,8 @@
     : timers_(aTimers)
     , log_(aLog)
     , handlers_(std::move(aHandlers))
-    , configuration_([this](const gpConfigurationEvent& aEvent) {
-      OnConfiguration(aEvent);
-    })
+    , configuration_(
+        [this](const gpConfigurationEvent& aEvent) { OnConfiguration(aEvent); })
     , roster_([this](const gpRosterEvent& aEvent) { OnRoster(aEvent); })
   {
   }
@@ -96,8 +95,8 @@
   {
     boost::random::uniform_int_distribution<std::int64_t> pick(
       0, kCheckpointPeriod.count());
-    nextCheckpoint_ = gpEventLoop::Now() + kCheckpointPeriod +
-                      gpMillis(pick(generator_));
+    nextCheckpoint_ =
+      gpEventLoop::Now() + kCheckpointPeriod + gpMillis(pick(generator_));
   }
 
   void LookAtCheckpoints()
--- /dev/null
+++ b/Source/Process/gpProcess.cxx
@@ -0,0 +1,216 @@
+#include "gpProcess.h"
+
+#include <random>
+#include <utility>
+
+#include "gpMessageName.h"
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+/// How often a process that ends looks whether all was written.
+constexpr gpMillis kDrainTime{ 5000 };
+
+gpIncarnation
+DrawIncarnation()
+{
+  std::random_device device;
+  std::uniform_int_distribution<std::uint64_t> pick(1);
+  return gpIncarnation(pick(device));
+}
+
+gpLinkSettings
+MakeLinkSettings(const gpTimings& aTimings)
+{
+  gpLinkSettings settings;
+  settings.heartbeat_ = aTimings.heartbeat_;
+  settings.silence_ = aTimings.linkSilence_;
+  return settings;
+}
+
+} // namespace
+
+gpProcess::gpProcess(gpProcessOptions aOptions,
+                     std::size_t aConnections,
+                     Handlers aHandlers)
+  : timers_(loop_)
+  , eventLog_(clock_)
+  , http_(loop_, gpHttpLimits{}, std::move(aHandlers.http_))
+  , httpClient_(loop_, aConnections)
+  , log_(loop_, timers_, httpClient_, aOptions.logService_)
+  , links_(loop_,
+           timers_,
+           clock_,
+           MakeLinkSettings(aOptions.timings_),
+           std::move(aHandlers.links_))
+  , streams_(timers_, log_, std::move(aHandlers.streams_))
+  , roster_(timers_, log_, streams_)
+  , options_(std::move(aOptions))
+{
+  self_.role_ = options_.role_;
+  self_.name_ = options_.name_;
+  self_.incarnation_ = DrawIncarnation();
+}
+
+absl::Status
+gpProcess::Open()
+{
+  absl::Status status = eventLog_.Open(
+    options_.eventLog_, options_.role_, options_.name_, self_.incarnation_);
+  if (!status.ok()) {
+    return status;
+  }
+  gpTimelineEvent started;
+  started.kind_ = gpEventKind::ProcessStarted;
+  started.detail_ = GP_VERSION;
+  Write(started);
+  return Listen();
+}
+
+absl::Status
+gpProcess::Listen()
+{
+  const auto links = links_.Listen(options_.linkListen_);
+  if (!links.ok()) {
+    return links.status();
+  }
+  const bool hasOther = !options_.linkAdvertise_.value_.empty();
+  self_.address_ = hasOther ? options_.linkAdvertise_ : *links;
+  links_.SetSelf(self_);
+  const auto http = http_.Listen(options_.httpListen_);
+  if (!http.ok()) {
+    return http.status();
+  }
+  gpTimelineEvent listening;
+  listening.kind_ = gpEventKind::Listening;
+  listening.detail_ = "links " + links->value_;
+  Write(listening);
+  listening.detail_ = "http " + http->value_;
+  Write(listening);
+  return absl::OkStatus();
+}
+
+void
+gpProcess::Write(const gpTimelineEvent& aEvent)
+{
+  eventLog_.Write(aEvent);
+  metrics_
+    .Counter("gypsumpoint_events_total",
+             "Events of the time line by kind",
+             { { "kind", std::string(gpEventKindName(aEvent.kind_)) } })
+    .Add();
+}
+
+void
+gpProcess::Send(gpLinkId aLink, gpMessage aMessage)
+{
+  metrics_
+    .Counter("gypsumpoint_messages_total",
+             "Messages sent to other processes by kind",
+             { { "kind", std::string(gpMessageName(aMessage)) } })
+    .Add();
+  links_.Send(aLink, std::move(aMessage));
+}
+
+void
+gpProcess::NoteLogHealth(const absl::Status& aStatus)
+{
+  gpTimelineEvent event;
+  event.kind_ =
+    aStatus.ok() ? gpEventKind::LogAvailable : gpEventKind::LogUnavailable;
+  event.detail_ = aStatus.ok() ? "" : gpErrorText(aStatus);
+  Write(event);
+}
+
+void
+gpProcess::NoteRejected(const gpConfigurationEvent& aEvent)
+{
+  gpTimelineEvent event;
+  event.kind_ = gpEventKind::ConfigurationRejected;
+  event.number_ = aEvent.version_.value_;
+  event.detail_ = std::string(gpVerdictName(aEvent.verdict_));
+  Write(event);
+}
+
+void
+gpProcess::WakeAt(gpTime aWhen, std::function<void()> aHandler)
+{
+  timers_.Cancel(wake_);
+  wake_ = timers_.Subscribe(aWhen, std::move(aHandler));
+}
+
+bool
+gpProcess::AnswerCommon(gpRequestId aRequest,
+                        const gpHttpRequest& aHttp,
+                        bool aReady,
+                        const std::string& aStatusFields)
+{
+  gpHttpResponse response;
+  if (aHttp.method_ != "GET") {
+    return false;
+  }
+  if (aHttp.target_ == "/healthz") {
+    response.body_ = R"({"healthy":true})";
+  } else if (aHttp.target_ == "/readyz") {
+    response.status_ = aReady ? kOk : kUnavailable;
+    response.body_ = aReady ? R"({"ready":true})" : R"({"ready":false})";
+  } else if (aHttp.target_ == "/metrics") {
+    UpdateTrafficMetrics();
+    response.contentType_ = "text/plain; version=0.0.4";
+    response.body_ = metrics_.Render();
+  } else if (aHttp.target_ == "/v1/status") {
+    response.body_ = RenderStatus(aStatusFields);
+  } else {
+    return false;
+  }
+  http_.Respond(aRequest, std::move(response));
+  return true;
+}
+
+void
+gpProcess::StopGracefully()
+{
+  if (std::exchange(stopping_, true)) {
+    return;
+  }
+  gpTimelineEvent stopped;
+  stopped.kind_ = gpEventKind::ProcessStopped;
+  Write(stopped);
+  const auto flush = [this] { links_.Flush([this] { loop_.Stop(); }); };
+  http_.Drain(flush);
+  // A caller that doesn't read its answer must not keep the process alive.
+  timers_.Subscribe(gpEventLoop::Now() + kDrainTime, [this] { loop_.Stop(); });
+}
+
+std::string
+gpProcess::RenderStatus(const std::string& aFields) const
+{
+  const gpVersionedConfiguration& configuration = streams_.GetConfiguration();
+  return R"({"process":")" + options_.name_ + R"(","role":")" +
+         std::string(gpRoleName(options_.role_)) + R"(","incarnation":")" +
+         gpIncarnationText(self_.incarnation_) +
+         R"(","configuration_version":)" +
+         std::to_string(configuration.version_.value_) + R"(,"apply_id":")" +
+         configuration.applyId_.value_ + R"(","roster_epoch":)" +
+         std::to_string(streams_.GetRoster().epoch_.value_) +
+         R"(,"log_available":)" +
+         (streams_.IsLogAvailable() ? "true" : "false") + R"(,"members":)" +
+         std::to_string(streams_.GetRoster().members_.size()) + aFields + "}";
+}
+
+void
+gpProcess::UpdateTrafficMetrics()
+{
+  const gpLinkCounts counts = links_.GetCounts();
+  const auto set = [this](const char* aName, std::uint64_t aValue) {
+    metrics_.Gauge(aName, "Traffic of all links since the start")
+      .Set(static_cast<double>(aValue));
+  };
+  set("gypsumpoint_link_bytes_sent", counts.bytesSent_);
+  set("gypsumpoint_link_bytes_received", counts.bytesReceived_);
+  set("gypsumpoint_link_frames_sent", counts.framesSent_);
+  set("gypsumpoint_link_frames_received", counts.framesReceived_);
+  set("gypsumpoint_link_messages_sent", counts.messagesSent_);
+  set("gypsumpoint_link_messages_received", counts.messagesReceived_);
+}
--- a/Source/Runtime/gpLogClient.cxx
+++ b/Source/Runtime/gpLogClient.cxx
@@ -172,7 +172,8 @@
 gpLogClient::Follow(const std::string& aStream,
                     gpLogOffset aFrom,
                     std::function<void(const gpLogBatch&)> aBatch,
-                    std::function<void(const absl::Status&)> aHealth)
+                    std::function<void(const absl::Status&)> aHealth,
+                    std::function<void()> aContact)
 {
   gpLogFollower::Handlers handlers;
   handlers.read_ = [self = impl_->weak_from_this(),
@@ -185,6 +186,7 @@
   };
   handlers.batch_ = std::move(aBatch);
   handlers.health_ = std::move(aHealth);
+  handlers.contact_ = std::move(aContact);
   impl_->followers_.push_back(std::make_shared<gpLogFollower>(
     impl_->timers_, aFrom, std::move(handlers)));
   impl_->followers_.back()->Read();
--- a/Source/Runtime/gpLogClient.h
+++ b/Source/Runtime/gpLogClient.h
@@ -69,7 +69,8 @@
   void Follow(const std::string& aStream,
               gpLogOffset aFrom,
               std::function<void(const gpLogBatch&)> aBatch,
-              std::function<void(const absl::Status&)> aHealth);
+              std::function<void(const absl::Status&)> aHealth,
+              std::function<void()> aContact = {});
 
 private:
   struct Impl;
--- a/Source/Runtime/gpLogFollower.cxx
+++ b/Source/Runtime/gpLogFollower.cxx
@@ -83,6 +83,9 @@
 gpLogFollower::OnBatch(const gpLogBatch& aBatch)
 {
   pause_ = kFirstPause;
+  if (handlers_.contact_) {
+    handlers_.contact_();
+  }
   if (!aBatch.records_.empty()) {
     next_.value_ = aBatch.records_.back().offset_.value_ + 1;
   }
--- a/Source/Runtime/gpLogFollower.h
+++ b/Source/Runtime/gpLogFollower.h
@@ -25,6 +25,8 @@
     std::function<void(gpLogOffset, gpMillis, ReadHandler)> read_;
     std::function<void(const gpLogBatch&)> batch_;
     std::function<void(const absl::Status&)> health_;
+    /// Each read that succeeded; may be empty.
+    std::function<void()> contact_;
   };
 
   gpLogFollower(gpTimerService& aTimers, gpLogOffset aFrom, Handlers aHandlers);
