--- /dev/null
+++ b/Tests/StandIns/gpFaultPipe.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "gpFaultQueue.h"
+#include "gpTimerService.h"
+
+/** \class gpFaultCounts
+ * \brief Traffic in one direction.
+ */
+struct gpFaultCounts
+{
+  std::uint64_t received_ = 0;
+  std::uint64_t forwarded_ = 0;
+  std::uint64_t waiting_ = 0;
+  std::uint64_t dropped_ = 0;
+
+  gpFaultCounts& operator+=(const gpFaultCounts& aOther);
+};
+
+/** \class gpFaultPipe
+ * \brief Forwards one direction of a connection, under the fault in force.
+ *
+ * A sink that is closed doesn't end the pipe: the source is read to its end.
+ */
+class gpFaultPipe
+{
+public:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  struct Handlers
+  {
+    /// Bytes were received.
+    std::function<void(const std::string&)> received_;
+    /// The end of the stream has been forwarded.
+    std::function<void()> ended_;
+  };
+
+  gpFaultPipe(Socket& aFrom,
+              Socket& aTo,
+              gpTimerService& aTimers,
+              Handlers aHandlers);
+  ~gpFaultPipe();
+  gpFaultPipe(const gpFaultPipe&) = delete;
+  gpFaultPipe& operator=(const gpFaultPipe&) = delete;
+
+  /// Starts to forward. What owns the pipe and its sockets is kept alive as
+  /// long as an operation is pending on them.
+  void Start(const std::shared_ptr<void>& aOwner, gpFault aFault);
+  /// Forwards nothing more.
+  void Stop();
+  void SetFault(gpFault aFault);
+  /// Sends the chunk that was forwarded last once more.
+  void Repeat();
+  bool HasEnded() const { return ended_; }
+  gpFaultCounts GetCounts() const;
+
+private:
+  static constexpr std::size_t kChunkBytes = 64U << 10U;
+
+  void Read();
+  void OnRead(const boost::system::error_code& aError, std::size_t aSize);
+  void Write();
+  void WriteChunk(std::string aBytes);
+  void WaitForDue();
+  void End();
+
+  Socket& from_;
+  Socket& to_;
+  gpTimerService& timers_;
+  Handlers handlers_;
+  std::weak_ptr<void> owner_;
+  gpFaultQueue queue_;
+  gpFaultCounts counts_;
+  std::array<char, kChunkBytes> buffer_{};
+  /// The chunk that is being written, or was written last.
+  std::string current_;
+  gpTimerId timer_;
+  bool paused_ = false;
+  bool writing_ = false;
+  bool sinkBroken_ = false;
+  bool ended_ = false;
+  bool stopped_ = false;
+};
