--- /dev/null
+++ b/Tests/Integration/Harness/gpTestJournals.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstddef>
+#include <filesystem>
+#include <map>
+#include <string>
+#include <vector>
+
+/** \class gpTestJournals
+ * \brief Counts the starts of tasks at all targets of a test.
+ *
+ * The counts come from files that the targets write before they run a task,
+ * so those of killed targets are in them.
+ */
+class gpTestJournals
+{
+public:
+  void Add(std::filesystem::path aFile);
+  /// Starts by "<submission>/<task>".
+  std::map<std::string, std::size_t> Read() const;
+
+private:
+  std::vector<std::filesystem::path> files_;
+};
