Runtime: Add the links between processes

Links are TCP with length-prefixed FlatBuffers. Each side's nonce goes into the number that all frames of a link carry, so that bytes replayed in either direction are refused. SendBufferFull is a new error code: a peer that takes its bytes too slowly is told from one that has closed.

--- a/Source/Model/gpError.h
+++ b/Source/Model/gpError.h
@@ -24,6 +24,7 @@
   ConnectTimeout,   ///< no answer to a connection attempt in time
   LinkClosed,       ///< the peer closed or reset the connection
   LinkSilent,       ///< nothing heard of the peer in time
+  SendBufferFull,   ///< a peer that takes its bytes too slowly
   HttpFailure,      ///< an HTTP exchange that broke off
   HttpTimeout,      ///< an HTTP exchange that took too long
   LogUnavailable,   ///< the log service doesn't answer
--- /dev/null
+++ b/Source/Runtime/gpLinkConnection.cxx
@@ -0,0 +1,210 @@
+#include "gpLinkConnection.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "gpEventLoop.h"
+
+namespace {
+
+/// Size of the receive buffer while payloads are small.
+constexpr std::size_t kReceiveBytes = 64U << 10U;
+/// The buffer grows when less room than this is left for a read.
+constexpr std::size_t kLeastReadBytes = 4U << 10U;
+
+std::array<unsigned char, gpLinkConnection::kPrefixBytes>
+EncodeLength(std::size_t aLength)
+{
+  std::array<unsigned char, gpLinkConnection::kPrefixBytes> prefix{};
+  for (std::size_t i = 0; i < prefix.size(); ++i) {
+    prefix.at(i) = static_cast<unsigned char>(aLength >> (8U * i));
+  }
+  return prefix;
+}
+
+std::size_t
+DecodeLength(const char* aPrefix)
+{
+  std::size_t length = 0;
+  for (std::size_t i = 0; i < gpLinkConnection::kPrefixBytes; ++i) {
+    length |= std::size_t{ static_cast<unsigned char>(aPrefix[i]) } << (8U * i);
+  }
+  return length;
+}
+
+} // namespace
+
+gpLinkConnection::gpLinkConnection(boost::asio::ip::tcp::socket aSocket,
+                                   Limits aLimits,
+                                   Handlers aHandlers)
+  : socket_(std::move(aSocket))
+  , limits_(aLimits)
+  , handlers_(std::move(aHandlers))
+  , received_(kReceiveBytes)
+  , lastHeard_(gpEventLoop::Now())
+{
+  boost::system::error_code ignored;
+  socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+}
+
+void
+gpLinkConnection::Start()
+{
+  Read();
+}
+
+void
+gpLinkConnection::Read()
+{
+  MakeRoom();
+  socket_.async_read_some(
+    boost::asio::buffer(received_.data() + end_, received_.size() - end_),
+    [self = shared_from_this()](const boost::system::error_code& aError,
+                                std::size_t aBytes) {
+      if (self->closed_) {
+        return;
+      }
+      if (aError) {
+        self->Fail(gpErrorCode::LinkClosed);
+        return;
+      }
+      self->OnRead(aBytes);
+    });
+}
+
+/// Grows the buffer with the bytes that came, not with the length announced:
+/// a peer can't make this side hold more than it sends.
+void
+gpLinkConnection::MakeRoom()
+{
+  if (begin_ == end_) {
+    begin_ = 0;
+    end_ = 0;
+    if (received_.size() > kReceiveBytes) {
+      received_ = std::vector<char>(kReceiveBytes);
+    }
+    return;
+  }
+  if (received_.size() - end_ >= kLeastReadBytes) {
+    return;
+  }
+  std::copy(received_.begin() + static_cast<std::ptrdiff_t>(begin_),
+            received_.begin() + static_cast<std::ptrdiff_t>(end_),
+            received_.begin());
+  end_ -= begin_;
+  begin_ = 0;
+  if (received_.size() - end_ < received_.size() / 2) {
+    received_.resize(received_.size() * 2);
+  }
+}
+
+void
+gpLinkConnection::OnRead(std::size_t aBytes)
+{
+  end_ += aBytes;
+  receivedBytes_ += aBytes;
+  lastHeard_ = gpEventLoop::Now();
+  while (!closed_ && TakePayload()) {
+  }
+  if (!closed_) {
+    Read();
+  }
+}
+
+/// Handles the next payload; false if it isn't there in full.
+bool
+gpLinkConnection::TakePayload()
+{
+  if (end_ - begin_ < kPrefixBytes) {
+    return false;
+  }
+  const std::size_t length = DecodeLength(received_.data() + begin_);
+  if (length > limits_.payloadBytes_) {
+    Fail(gpErrorCode::FrameTooLarge);
+    return false;
+  }
+  if (end_ - begin_ < kPrefixBytes + length) {
+    return false;
+  }
+  const std::string_view payload(received_.data() + begin_ + kPrefixBytes,
+                                 length);
+  begin_ += kPrefixBytes + length;
+  handlers_.payload_(payload);
+  return true;
+}
+
+void
+gpLinkConnection::Send(std::string aPayload)
+{
+  if (closed_) {
+    return;
+  }
+  queuedBytes_ += kPrefixBytes + aPayload.size();
+  if (queuedBytes_ - writtenBytes_ > limits_.sendBytes_) {
+    Fail(gpErrorCode::SendBufferFull);
+    return;
+  }
+  const Prefix prefix = EncodeLength(aPayload.size());
+  waiting_.push_back(Chunk{ prefix, std::move(aPayload) });
+  if (writing_.empty()) {
+    Write();
+  }
+}
+
+void
+gpLinkConnection::Write()
+{
+  writing_.swap(waiting_);
+  std::vector<boost::asio::const_buffer> buffers;
+  buffers.reserve(2 * writing_.size());
+  for (const Chunk& chunk : writing_) {
+    buffers.emplace_back(boost::asio::buffer(chunk.prefix_));
+    buffers.emplace_back(boost::asio::buffer(chunk.payload_));
+  }
+  boost::asio::async_write(
+    socket_,
+    buffers,
+    [self = shared_from_this()](const boost::system::error_code& aError,
+                                std::size_t aBytes) {
+      if (self->closed_) {
+        return;
+      }
+      if (aError) {
+        self->Fail(gpErrorCode::LinkClosed);
+        return;
+      }
+      self->OnWritten(aBytes);
+    });
+}
+
+void
+gpLinkConnection::OnWritten(std::size_t aBytes)
+{
+  writtenBytes_ += aBytes;
+  writing_.clear();
+  if (!waiting_.empty()) {
+    Write();
+  }
+  handlers_.written_();
+}
+
+void
+gpLinkConnection::Fail(gpErrorCode aCode)
+{
+  if (closed_) {
+    return;
+  }
+  Close();
+  handlers_.closed_(aCode);
+}
+
+void
+gpLinkConnection::Close()
+{
+  closed_ = true;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
--- /dev/null
+++ b/Source/Runtime/gpLinkService.cxx
@@ -0,0 +1,369 @@
+#include "gpLinkService.h"
+
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "gpEventLoop.h"
+#include "gpLinkAcceptor.h"
+#include "gpLinkDialer.h"
+#include "gpLinkFlush.h"
+#include "gpLinkSession.h"
+
+using boost::asio::ip::tcp;
+
+struct gpLinkService::Impl
+  : public gpLinkObserver
+  , public std::enable_shared_from_this<gpLinkService::Impl>
+{
+  Impl(gpLinkContext aContext, Handlers aHandlers)
+    : context_(std::move(aContext))
+    , handlers_(std::move(aHandlers))
+  {
+  }
+
+  absl::StatusOr<gpAddress> Listen(const gpAddress& aAddress);
+  void Watch(const gpAddress& aAddress);
+  void Unwatch(const gpAddress& aAddress);
+  void Send(gpLinkId aLink, gpMessage aMessage);
+  void Close(gpLinkId aLink);
+  void Flush(std::function<void()> aFlushed);
+  void Shutdown();
+
+  void OnLinkUp(gpLinkSession& aSession) override;
+  void OnLinkMessage(gpLinkSession& aSession, gpMessage aMessage) override;
+  void OnLinkWritten(gpLinkSession& aSession) override;
+  void OnLinkClosed(gpLinkSession& aSession, gpErrorCode aCode) override;
+
+  gpLinkDialer::Handlers MakeDialerHandlers(const gpAddress& aAddress);
+  gpLinkId AddSession(tcp::socket aSocket, std::optional<gpAddress> aDialed);
+  void OnDialed(const gpAddress& aAddress, tcp::socket aSocket);
+  void CloseOlderLink(gpIncarnation aIncarnation);
+  void RemoveSession(const gpLinkSession& aSession);
+  void SendOutboxes();
+  void AddFlushWaiter(std::function<void()> aFlushed);
+  /// Calls the method on a later turn of the loop.
+  void Post(std::function<void(Impl&)> aTask);
+
+  /// An address that is kept linked.
+  struct WatchEntry
+  {
+    std::shared_ptr<gpLinkDialer> dialer_;
+    /// The link, or the one that is shaking hands.
+    std::optional<gpLinkId> link_;
+  };
+
+  gpLinkContext context_;
+  Handlers handlers_;
+  std::vector<std::shared_ptr<gpLinkAcceptor>> acceptors_;
+  std::map<gpAddress, WatchEntry> watches_;
+  std::unordered_map<gpLinkId, std::shared_ptr<gpLinkSession>> sessions_;
+  /// Accepted links that are up, by the peer's incarnation.
+  std::unordered_map<gpIncarnation, gpLinkId> accepted_;
+  /// Links with messages to send when this turn of the loop has ended.
+  std::vector<gpLinkId> unsent_;
+  gpLinkFlush flush_;
+  std::uint64_t lastLink_ = 0;
+};
+
+absl::StatusOr<gpAddress>
+gpLinkService::Impl::Listen(const gpAddress& aAddress)
+{
+  const auto acceptor = std::make_shared<gpLinkAcceptor>(
+    context_, [weak = weak_from_this()](tcp::socket aSocket) {
+      if (const auto self = weak.lock()) {
+        self->AddSession(std::move(aSocket), std::nullopt);
+      }
+    });
+  auto address = acceptor->Listen(aAddress);
+  if (address.ok()) {
+    acceptors_.push_back(acceptor);
+  }
+  return address;
+}
+
+void
+gpLinkService::Impl::Watch(const gpAddress& aAddress)
+{
+  const auto [watch, isNew] = watches_.try_emplace(aAddress);
+  if (!isNew) {
+    return;
+  }
+  watch->second.dialer_ = std::make_shared<gpLinkDialer>(
+    context_, aAddress, MakeDialerHandlers(aAddress));
+  watch->second.dialer_->Dial();
+}
+
+gpLinkDialer::Handlers
+gpLinkService::Impl::MakeDialerHandlers(const gpAddress& aAddress)
+{
+  gpLinkDialer::Handlers handlers;
+  handlers.connected_ = [weak = weak_from_this(),
+                         aAddress](tcp::socket aSocket) {
+    if (const auto self = weak.lock()) {
+      self->OnDialed(aAddress, std::move(aSocket));
+    }
+  };
+  handlers.failed_ = [weak = weak_from_this(), aAddress](gpErrorCode aCode) {
+    if (const auto self = weak.lock()) {
+      self->handlers_.dialFailed_(aAddress, aCode);
+    }
+  };
+  return handlers;
+}
+
+void
+gpLinkService::Impl::OnDialed(const gpAddress& aAddress, tcp::socket aSocket)
+{
+  const auto watch = watches_.find(aAddress);
+  if (watch != watches_.end()) {
+    watch->second.link_ = AddSession(std::move(aSocket), aAddress);
+  }
+}
+
+gpLinkId
+gpLinkService::Impl::AddSession(tcp::socket aSocket,
+                                std::optional<gpAddress> aDialed)
+{
+  const gpLinkId link(++lastLink_);
+  const auto session =
+    std::make_shared<gpLinkSession>(link, std::move(aDialed), context_, *this);
+  sessions_.emplace(link, session);
+  session->Start(std::move(aSocket));
+  return link;
+}
+
+void
+gpLinkService::Impl::Unwatch(const gpAddress& aAddress)
+{
+  const auto node = watches_.extract(aAddress);
+  if (node.empty()) {
+    return;
+  }
+  node.mapped().dialer_->Stop();
+  if (node.mapped().link_) {
+    Close(*node.mapped().link_);
+  }
+}
+
+void
+gpLinkService::Impl::Send(gpLinkId aLink, gpMessage aMessage)
+{
+  const auto session = sessions_.find(aLink);
+  if (session == sessions_.end() || !session->second->IsUp()) {
+    return;
+  }
+  if (!session->second->Queue(std::move(aMessage))) {
+    return;
+  }
+  if (unsent_.empty()) {
+    Post([](Impl& aImpl) { aImpl.SendOutboxes(); });
+  }
+  unsent_.push_back(aLink);
+}
+
+void
+gpLinkService::Impl::SendOutboxes()
+{
+  for (const gpLinkId link : std::exchange(unsent_, {})) {
+    const auto found = sessions_.find(link);
+    if (found != sessions_.end()) {
+      const auto session = found->second;
+      session->SendOutbox();
+    }
+  }
+}
+
+void
+gpLinkService::Impl::Close(gpLinkId aLink)
+{
+  const auto found = sessions_.find(aLink);
+  if (found == sessions_.end()) {
+    return;
+  }
+  const auto session = found->second;
+  session->Close();
+  RemoveSession(*session);
+}
+
+void
+gpLinkService::Impl::Flush(std::function<void()> aFlushed)
+{
+  Post([flushed = std::move(aFlushed)](Impl& aImpl) {
+    aImpl.AddFlushWaiter(flushed);
+  });
+}
+
+void
+gpLinkService::Impl::AddFlushWaiter(std::function<void()> aFlushed)
+{
+  SendOutboxes();
+  gpLinkFlush::Targets targets;
+  for (const auto& [link, session] : sessions_) {
+    if (!session->GetConnection().IsIdle()) {
+      targets.emplace(link, session->GetConnection().GetQueuedBytes());
+    }
+  }
+  // Posted, as the last link may close inside a call of the user's.
+  flush_.Add(std::move(targets), [this, flushed = std::move(aFlushed)]() {
+    context_.loop_.Post(flushed);
+  });
+}
+
+void
+gpLinkService::Impl::OnLinkUp(gpLinkSession& aSession)
+{
+  const gpIncarnation incarnation = aSession.GetPeer().incarnation_;
+  if (!aSession.GetDialed()) {
+    CloseOlderLink(incarnation);
+    if (!aSession.IsUp()) {
+      return; // closed by the down handler
+    }
+    accepted_[incarnation] = aSession.GetId();
+  }
+  handlers_.up_(aSession.GetId(), aSession.GetPeer(), aSession.GetDialed());
+}
+
+/// A peer that links again has given its former link up, although this side
+/// may not have seen that yet.
+void
+gpLinkService::Impl::CloseOlderLink(gpIncarnation aIncarnation)
+{
+  const auto older = accepted_.find(aIncarnation);
+  if (older == accepted_.end()) {
+    return;
+  }
+  const gpLinkId link = older->second;
+  Close(link);
+  handlers_.down_(link, gpErrorCode::LinkClosed);
+}
+
+void
+gpLinkService::Impl::OnLinkMessage(gpLinkSession& aSession, gpMessage aMessage)
+{
+  handlers_.message_(aSession.GetId(), std::move(aMessage));
+}
+
+void
+gpLinkService::Impl::OnLinkWritten(gpLinkSession& aSession)
+{
+  flush_.OnWritten(aSession.GetId(),
+                   aSession.GetConnection().GetWrittenBytes());
+}
+
+void
+gpLinkService::Impl::OnLinkClosed(gpLinkSession& aSession, gpErrorCode aCode)
+{
+  RemoveSession(aSession);
+  if (aSession.WasUp()) {
+    handlers_.down_(aSession.GetId(), aCode);
+  } else if (aSession.GetDialed()) {
+    handlers_.dialFailed_(*aSession.GetDialed(), aCode);
+  }
+}
+
+void
+gpLinkService::Impl::RemoveSession(const gpLinkSession& aSession)
+{
+  const gpLinkId link = aSession.GetId();
+  sessions_.erase(link);
+  const auto accepted = accepted_.find(aSession.GetPeer().incarnation_);
+  if (accepted != accepted_.end() && accepted->second == link) {
+    accepted_.erase(accepted);
+  }
+  const auto watch = watches_.find(aSession.GetDialed().value_or(gpAddress()));
+  if (watch != watches_.end() && watch->second.link_ == link) {
+    watch->second.link_.reset();
+    watch->second.dialer_->RedialLater();
+  }
+  flush_.OnClosed(link);
+}
+
+void
+gpLinkService::Impl::Post(std::function<void(Impl&)> aTask)
+{
+  context_.loop_.Post([weak = weak_from_this(), task = std::move(aTask)]() {
+    if (const auto self = weak.lock()) {
+      task(*self);
+    }
+  });
+}
+
+void
+gpLinkService::Impl::Shutdown()
+{
+  for (const auto& acceptor : acceptors_) {
+    acceptor->Stop();
+  }
+  for (const auto& [address, watch] : watches_) {
+    watch.dialer_->Stop();
+  }
+  for (const auto& [link, session] : sessions_) {
+    session->Close();
+  }
+}
+
+gpLinkService::gpLinkService(gpEventLoop& aLoop,
+                             gpTimerService& aTimers,
+                             gpLamportClock& aClock,
+                             gpLinkSettings aSettings,
+                             Handlers aHandlers)
+  : impl_(std::make_shared<Impl>(
+      gpLinkContext{ aLoop, aTimers, aClock, aSettings, {}, {} },
+      std::move(aHandlers)))
+{
+}
+
+gpLinkService::~gpLinkService()
+{
+  impl_->Shutdown();
+}
+
+absl::StatusOr<gpAddress>
+gpLinkService::Listen(const gpAddress& aAddress)
+{
+  return impl_->Listen(aAddress);
+}
+
+void
+gpLinkService::SetSelf(gpPeer aSelf)
+{
+  impl_->context_.self_ = std::move(aSelf);
+}
+
+void
+gpLinkService::Watch(const gpAddress& aAddress)
+{
+  impl_->Watch(aAddress);
+}
+
+void
+gpLinkService::Unwatch(const gpAddress& aAddress)
+{
+  impl_->Unwatch(aAddress);
+}
+
+void
+gpLinkService::Send(gpLinkId aLink, gpMessage aMessage)
+{
+  impl_->Send(aLink, std::move(aMessage));
+}
+
+void
+gpLinkService::Close(gpLinkId aLink)
+{
+  impl_->Close(aLink);
+}
+
+void
+gpLinkService::Flush(std::function<void()> aFlushed)
+{
+  impl_->Flush(std::move(aFlushed));
+}
+
+gpLinkCounts
+gpLinkService::GetCounts() const
+{
+  return impl_->context_.counts_;
+}
--- a/Source/Runtime/gpLinkService.h
+++ b/Source/Runtime/gpLinkService.h
@@ -23,12 +23,14 @@
 struct gpLinkSettings
 {
   std::size_t frameBytes_ = 64U << 20U;
-  /// Bytes waiting to be sent on one link; over it the link is closed.
+  /// Bytes waiting to be sent on one link; over it the link is closed
+  /// (SendBufferFull).
   std::size_t sendBytes_ = 256U << 20U;
   /// An empty frame is sent on a link that has been idle for so long.
   gpMillis heartbeat_{ 1000 };
   /// A link on which nothing is heard for so long is closed (LinkSilent).
   gpMillis silence_{ 3000 };
+  /// Longest time to connect, and then again to shake hands.
   gpMillis connectTimeout_{ 1000 };
   /// Pause between two attempts to reach a watched address.
   gpMillis redial_{ 200 };
@@ -51,11 +53,16 @@
  * \brief Links to other processes of the system: TCP, framed FlatBuffers.
  *
  * Messages on a link arrive in order and once. The handshake exchanges
- * gpPeer, and ties the link to a nonce of the accepting side, so that bytes
- * replayed from another connection are refused (ReplayedLink); frames carry a
- * sequence number, so that bytes sent twice are refused (FrameOutOfOrder). A
- * link that breaks a rule is closed; nothing else is affected. Messages that
- * are sent during one turn of the loop travel in one frame.
+ * gpPeer, and ties the link to a nonce of each side, so that bytes replayed
+ * from another connection are refused (ReplayedLink); frames carry a sequence
+ * number, so that bytes sent twice are refused (FrameOutOfOrder). A link that
+ * breaks a rule is closed; nothing else is affected. Messages that are sent
+ * during one turn of the loop travel in one frame, or in several if they make
+ * more than about 1 MiB. No handler is called from inside a method. The
+ * service may not be destroyed inside a handler.
+ *
+ * An incarnation that links again has given up the link that it dialed before:
+ * the accepting side reports that one down (LinkClosed), then the new one up.
  */
 class gpLinkService
 {
--- a/Source/Wire/gpFrame.h
+++ b/Source/Wire/gpFrame.h
@@ -8,15 +8,27 @@
 #include "gpMessage.h"
 #include "gpPeer.h"
 
-/** \class gpFrame
- * \brief What travels at once on a link. Without messages it's a heartbeat.
+/** \class gpFrameHeader
+ * \brief Where a frame belongs.
  */
-struct gpFrame
+struct gpFrameHeader
 {
+  /// Number that both sides of the link made of their nonces.
+  std::uint64_t link_ = 0;
   /// Number of the frame on its link and in its direction, from 1.
   std::uint64_t sequence_ = 0;
   /// Lamport time of the sender.
   std::uint64_t clock_ = 0;
+
+  bool operator==(const gpFrameHeader&) const = default;
+};
+
+/** \class gpFrame
+ * \brief What travels at once on a link. Without messages it's a heartbeat.
+ */
+struct gpFrame
+{
+  gpFrameHeader header_;
   std::vector<gpMessage> messages_;
 
   bool operator==(const gpFrame&) const = default;
@@ -39,9 +51,10 @@
 {
   std::uint32_t protocol_ = 0;
   gpPeer peer_;
-  /// Random number of the accepting side; 0 from the dialing side.
+  /// Random number of the side that says this.
   std::uint64_t nonce_ = 0;
-  /// The nonce as the dialing side received it; 0 from the accepting side.
+  /// The nonce of the accepting side as the dialing side received it; 0 from
+  /// the accepting side, which speaks first.
   std::uint64_t echo_ = 0;
 
   bool operator==(const gpHello&) const = default;
--- a/Source/Wire/gpFrameCodec.cxx
+++ b/Source/Wire/gpFrameCodec.cxx
@@ -153,8 +153,7 @@
 } // namespace
 
 gpEncodedFrame
-gpFrameCodec::EncodeFrame(std::uint64_t aSequence,
-                          std::uint64_t aClock,
+gpFrameCodec::EncodeFrame(const gpFrameHeader& aHeader,
                           std::span<const gpMessage> aMessages,
                           std::size_t aSoftBytes)
 {
@@ -178,18 +177,20 @@
     typeVector = builder.CreateVector(types);
     messageVector = builder.CreateVector(messages);
   }
-  builder.Finish(
-    gpWire::CreateFrame(builder, aSequence, aClock, typeVector, messageVector),
-    gpWire::FrameIdentifier());
+  builder.Finish(gpWire::CreateFrame(builder,
+                                     aHeader.link_,
+                                     aHeader.sequence_,
+                                     aHeader.clock_,
+                                     typeVector,
+                                     messageVector),
+                 gpWire::FrameIdentifier());
   return { TakeBytes(builder), messages.size() };
 }
 
 std::string
 gpFrameCodec::EncodeFrame(const gpFrame& aFrame)
 {
-  return EncodeFrame(
-           aFrame.sequence_, aFrame.clock_, aFrame.messages_, kMaxBytes)
-    .bytes_;
+  return EncodeFrame(aFrame.header_, aFrame.messages_, kMaxBytes).bytes_;
 }
 
 absl::StatusOr<gpFrame>
@@ -203,7 +204,8 @@
     return BadFrame("not a frame, or a required field is missing");
   }
   const gpWire::Frame* table = gpWire::GetFrame(bytes.Data());
-  gpFrame frame{ table->sequence(), table->clock(), {} };
+  gpFrame frame;
+  frame.header_ = { table->link(), table->sequence(), table->clock() };
   gpWireReader reader(bytes.Size());
   if (!ReadMessages(reader, *table, frame.messages_)) {
     return BadFrame(reader.GetFailure());
--- a/Source/Wire/gpFrameCodec.h
+++ b/Source/Wire/gpFrameCodec.h
@@ -29,8 +29,7 @@
 
   /// Encodes the first messages, at least one if there is any, until the frame
   /// has grown past aSoftBytes or to kMaxMessages.
-  static gpEncodedFrame EncodeFrame(std::uint64_t aSequence,
-                                    std::uint64_t aClock,
+  static gpEncodedFrame EncodeFrame(const gpFrameHeader& aHeader,
                                     std::span<const gpMessage> aMessages,
                                     std::size_t aSoftBytes);
   /// Encodes a whole frame of at most kMaxMessages messages.
--- a/Source/Wire/gpWire_generated.h
+++ b/Source/Wire/gpWire_generated.h
@@ -3101,11 +3101,15 @@
   typedef FrameBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SEQUENCE = 4,
-    VT_CLOCK = 6,
-    VT_MESSAGES_TYPE = 8,
-    VT_MESSAGES = 10
+    VT_LINK = 4,
+    VT_SEQUENCE = 6,
+    VT_CLOCK = 8,
+    VT_MESSAGES_TYPE = 10,
+    VT_MESSAGES = 12
   };
+  uint64_t link() const {
+    return GetField<uint64_t>(VT_LINK, 0);
+  }
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
@@ -3120,6 +3124,7 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LINK, 8) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_CLOCK, 8) &&
            VerifyOffset(verifier, VT_MESSAGES_TYPE) &&
@@ -3135,6 +3140,9 @@
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_link(uint64_t link) {
+    fbb_.AddElement<uint64_t>(Frame::VT_LINK, link, 0);
+  }
   void add_sequence(uint64_t sequence) {
     fbb_.AddElement<uint64_t>(Frame::VT_SEQUENCE, sequence, 0);
   }
@@ -3160,6 +3168,7 @@
 
 inline flatbuffers::Offset<Frame> CreateFrame(
     flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t link = 0,
     uint64_t sequence = 0,
     uint64_t clock = 0,
     flatbuffers::Offset<flatbuffers::Vector<gpWire::Message>> messages_type = 0,
@@ -3167,6 +3176,7 @@
   FrameBuilder builder_(_fbb);
   builder_.add_clock(clock);
   builder_.add_sequence(sequence);
+  builder_.add_link(link);
   builder_.add_messages(messages);
   builder_.add_messages_type(messages_type);
   return builder_.Finish();
@@ -3179,6 +3189,7 @@
 
 inline flatbuffers::Offset<Frame> CreateFrameDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t link = 0,
     uint64_t sequence = 0,
     uint64_t clock = 0,
     const std::vector<gpWire::Message> *messages_type = nullptr,
@@ -3187,6 +3198,7 @@
   auto messages__ = messages ? _fbb.CreateVector<flatbuffers::Offset<void>>(*messages) : 0;
   return gpWire::CreateFrame(
       _fbb,
+      link,
       sequence,
       clock,
       messages_type__,
--- a/Tests/Wire/testWire.cxx
+++ b/Tests/Wire/testWire.cxx
@@ -18,7 +18,7 @@
 gpFrame
 SampleFrame()
 {
-  return { 17, 99, gpSampleMessages() };
+  return { { 3, 17, 99 }, gpSampleMessages() };
 }
 
 bool
@@ -40,7 +40,7 @@
     builder.CreateVector(std::vector<gpWire::Message>{ aType });
   const auto messages =
     builder.CreateVector(std::vector<flatbuffers::Offset<void>>{ message });
-  builder.Finish(gpWire::CreateFrame(builder, 1, 1, types, messages),
+  builder.Finish(gpWire::CreateFrame(builder, 1, 1, 1, types, messages),
                  gpWire::FrameIdentifier());
   return { reinterpret_cast<const char*>(builder.GetBufferPointer()),
            builder.GetSize() };
@@ -68,7 +68,7 @@
     BOOST_TEST_CONTEXT("message type " << i)
     {
       BOOST_REQUIRE(samples[i].index() == i);
-      const gpFrame frame{ i + 1, 5, { samples[i] } };
+      const gpFrame frame{ { 9, i + 1, 5 }, { samples[i] } };
       const auto back =
         gpFrameCodec::DecodeFrame(gpFrameCodec::EncodeFrame(frame));
       BOOST_REQUIRE(back.ok());
@@ -89,7 +89,7 @@
 
 BOOST_AUTO_TEST_CASE(HeartbeatComesBack)
 {
-  const gpFrame frame{ 3, 4, {} };
+  const gpFrame frame{ { 2, 3, 4 }, {} };
   const auto back = gpFrameCodec::DecodeFrame(gpFrameCodec::EncodeFrame(frame));
   BOOST_REQUIRE(back.ok());
   BOOST_TEST((*back == frame));
@@ -113,13 +113,15 @@
 BOOST_AUTO_TEST_CASE(SoftLimitCutsAFrame)
 {
   const std::vector<gpMessage> messages(100, gpSampleMessages().front());
-  const gpEncodedFrame some = gpFrameCodec::EncodeFrame(1, 1, messages, 1000);
+  const gpEncodedFrame some =
+    gpFrameCodec::EncodeFrame({ 1, 1, 1 }, messages, 1000);
   BOOST_TEST(some.messages_ > 1U);
   BOOST_TEST(some.messages_ < messages.size());
   const auto back = gpFrameCodec::DecodeFrame(some.bytes_);
   BOOST_REQUIRE(back.ok());
   BOOST_TEST(back->messages_.size() == some.messages_);
-  BOOST_TEST(gpFrameCodec::EncodeFrame(1, 1, messages, 0).messages_ == 1U);
+  BOOST_TEST(gpFrameCodec::EncodeFrame({ 1, 1, 1 }, messages, 0).messages_ ==
+             1U);
 }
 
 BOOST_AUTO_TEST_CASE(UnalignedBytesAreRead)
