--- a/Tests/Integration/Harness/gpTestCluster.h
+++ b/Tests/Integration/Harness/gpTestCluster.h
@@ -23,12 +23,12 @@
   std::size_t targets_ = 3;
   std::size_t slots_ = 8;
   /// Factors on the run times of the first targets; 1 for the others.
-  std::vector<double> speeds_;
+  std::vector<double> speeds_{};
   /// Whether a fault proxy stands before the link port of each guard.
   bool linkProxies_ = false;
   std::string service_ = "pond-order";
   std::string region_ = "gulf-south";
-  gpTimings timings_;
+  gpTimings timings_{};
 };
 
 /** \class gpTestCluster
--- a/Tests/Integration/Harness/gpTestJob.h
+++ b/Tests/Integration/Harness/gpTestJob.h
@@ -14,7 +14,7 @@
 struct gpTestTask
 {
   std::string path_ = "/v1/hold";
-  std::string body_;
+  std::string body_{};
   bool idempotent_ = false;
 };
 
@@ -26,9 +26,9 @@
   std::string service_ = "pond-order";
   std::string team_ = "garden-center-7";
   /// Without a key, if empty.
-  std::string key_;
+  std::string key_{};
   gpMillis deadline_{ 10000 };
-  std::vector<gpTestTask> tasks_;
+  std::vector<gpTestTask> tasks_{};
 };
 
 /** \class gpTestAnswer
--- a/Tests/Integration/Harness/gpTestProcess.h
+++ b/Tests/Integration/Harness/gpTestProcess.h
@@ -26,11 +26,11 @@
   std::string name_;
   /// Name of a program of the build tree, such as "gp-stand-in-log".
   std::string program_;
-  std::vector<std::string> arguments_;
+  std::vector<std::string> arguments_{};
   /// Holds the files of the process.
-  std::filesystem::path folder_;
+  std::filesystem::path folder_{};
   /// Where the process writes its events; empty: to its standard output.
-  std::filesystem::path eventLog_;
+  std::filesystem::path eventLog_{};
 };
 
 /** \class gpTestProcess
