--- /dev/null
+++ b/Tests/StandIns/gpStandInTarget.cxx
@@ -0,0 +1,125 @@
+// gp-stand-in-target: an HTTP target that counts the starts of its tasks.
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include <boost/json.hpp>
+#include <boost/program_options/value_semantic.hpp>
+
+#include "gpControlServer.h"
+#include "gpEventLoop.h"
+#include "gpStandInOptions.h"
+#include "gpTargetAnnouncer.h"
+#include "gpTargetControl.h"
+#include "gpTargetStandIn.h"
+
+namespace {
+
+/// The options of this stand-in only.
+struct TargetOptions
+{
+  std::size_t slots_ = 0;
+  double speed_ = 0;
+  std::string service_;
+  std::string announceTo_;
+  std::string journal_;
+};
+
+boost::program_options::options_description
+Describe(TargetOptions& aOptions)
+{
+  using boost::program_options::value;
+  boost::program_options::options_description own("gp-stand-in-target");
+  own.add_options()("slots",
+                    value(&aOptions.slots_)->default_value(8),
+                    "tasks that run at once; others wait")(
+    "speed", value(&aOptions.speed_)->default_value(1), "factor on run times")(
+    "service", value(&aOptions.service_), "service that it announces")(
+    "announce-to", value(&aOptions.announceTo_), "IP:PORT of the guard")(
+    "journal", value(&aOptions.journal_), "file with a line for each start");
+  return own;
+}
+
+std::string
+Announcement(const TargetOptions& aOptions, const gpAddress& aAddress)
+{
+  return boost::json::serialize(
+    boost::json::object{ { "service", aOptions.service_ },
+                         { "address", aAddress.value_ },
+                         { "slots", aOptions.slots_ } });
+}
+
+/// Announces the target, serves, and leaves on SIGTERM.
+void
+Serve(gpEventLoop& aLoop,
+      gpTimerService& aTimers,
+      gpTargetStandIn& aTarget,
+      const TargetOptions& aOptions,
+      const gpAddress& aAddress)
+{
+  gpHttpClient client(aLoop, 2);
+  gpTargetAnnouncer announcer(aTimers,
+                              client,
+                              gpAddress(aOptions.announceTo_),
+                              Announcement(aOptions, aAddress));
+  const auto drain = [&] { aTarget.Drain([&] { aLoop.Stop(); }); };
+  const bool announces = !aOptions.announceTo_.empty();
+  if (announces) {
+    announcer.Announce();
+  }
+  aLoop.OnTerminate([&] {
+    if (announces) {
+      announcer.Leave(drain);
+    } else {
+      drain();
+    }
+  });
+  aLoop.Run();
+}
+
+absl::Status
+Run(const gpStandInOptions& aShared, const TargetOptions& aOptions)
+{
+  gpEventLoop loop;
+  gpTimerService timers(loop);
+  gpTargetJournal journal;
+  gpTargetStandIn target(loop, timers, journal, aOptions.slots_);
+  gpControlServer control(
+    loop,
+    { .apply_ =
+        [&](const std::string& aBody) {
+          return gpApplyTargetCommand(target, aBody);
+        },
+      .show_ =
+        [&](const std::string& aUrl) { return gpShowTarget(target, aUrl); } });
+  if (!aOptions.journal_.empty()) {
+    if (absl::Status status = journal.Open(aOptions.journal_); !status.ok()) {
+      return status;
+    }
+  }
+  target.SetBehaviour({ .speed_ = aOptions.speed_ });
+  const absl::StatusOr<gpAddress> address = target.Listen(aShared.listen_);
+  if (!address.ok()) {
+    return address.status();
+  }
+  gpPrintListening("service", *address);
+  if (absl::Status status = control.Listen(aShared.control_); !status.ok()) {
+    return status;
+  }
+  Serve(loop, timers, target, aOptions, *address);
+  return absl::OkStatus();
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  TargetOptions own;
+  gpStandInOptions shared;
+  if (!gpParseStandInOptions(aCount, aArguments, Describe(own), shared)) {
+    return 2;
+  }
+  return gpExitCode(Run(shared, own));
+}
