--- /dev/null
+++ b/Source/Load/gpMetricsReader.cxx
@@ -0,0 +1,75 @@
+#include "gpMetricsReader.h"
+
+#include <memory>
+#include <utility>
+
+namespace {
+
+constexpr gpMillis kMetricsTimeout{ 2000 };
+constexpr int kOk = 200;
+
+/// One reading while its answers come in.
+struct Reading
+{
+  gpMessageReadings readings_;
+  std::size_t open_ = 0;
+  std::function<void(gpMessageReadings)> handler_;
+
+  void Close()
+  {
+    --open_;
+    if (open_ == 0) {
+      handler_(std::move(readings_));
+    }
+  }
+};
+
+} // namespace
+
+void
+gpReadMetrics(gpHttpClient& aHttp,
+              const std::vector<gpAddress>& aAddresses,
+              std::function<void(gpMessageReadings)> aHandler)
+{
+  const auto reading = std::make_shared<Reading>();
+  reading->handler_ = std::move(aHandler);
+  // One more than the calls, so that none of them can be the last too early.
+  reading->open_ = aAddresses.size() + 1;
+  for (const gpAddress& address : aAddresses) {
+    gpHttpRequest request;
+    request.target_ = "/metrics";
+    aHttp.Call(address,
+               std::move(request),
+               kMetricsTimeout,
+               [reading, address](const gpHttpReply& aReply) {
+                 if (aReply.response_.ok() &&
+                     aReply.response_->status_ == kOk) {
+                   reading->readings_[address] =
+                     gpParseMessageCounts(aReply.response_->body_);
+                 }
+                 reading->Close();
+               });
+  }
+  reading->Close();
+}
+
+gpMessageTraffic
+gpTrafficBetween(const std::vector<gpAddress>& aAddresses,
+                 const gpMessageReadings& aBefore,
+                 const gpMessageReadings& aAfter)
+{
+  gpMessageTraffic traffic;
+  for (const gpAddress& address : aAddresses) {
+    const auto before = aBefore.find(address);
+    const auto after = aAfter.find(address);
+    if (before == aBefore.end() || after == aAfter.end()) {
+      ++traffic.unread_;
+      continue;
+    }
+    for (const auto& [kind, count] :
+         gpCountedBetween(before->second, after->second)) {
+      traffic.counts_[kind] += count;
+    }
+  }
+  return traffic;
+}
