--- a/Source/Command/gpApplyCommand.cxx
+++ b/Source/Command/gpApplyCommand.cxx
@@ -37,13 +37,10 @@
     return Fail(aConsole, file.status());
   }
   gpLogOption log(aValues);
-  const gpApplyId applyId = gpDrawApplyId();
-  const gpApplyResult result =
-    log.GetLog().Apply(*file, applyId, BaseOf(aValues));
-  const std::string text = gpApplyText(result, applyId);
-  if (result.end_ != gpApplyEnd::Applied) {
-    return Fail(aConsole, text);
+  const auto applied = log.Apply(*file, BaseOf(aValues));
+  if (!applied.ok()) {
+    return Fail(aConsole, applied.status());
   }
-  aConsole.out_ << text << "\n";
+  aConsole.out_ << *applied << "\n";
   return gpExitCode::Success;
 }
--- a/Source/Command/gpConfigurationLog.cxx
+++ b/Source/Command/gpConfigurationLog.cxx
@@ -43,7 +43,9 @@
 {
   const absl::StatusOr<gpLogBatch> batch = log_.Read(stream_.NextOffset());
   if (!batch.ok()) {
-    return batch.status();
+    return gpMakeError(gpErrorCodeOf(batch.status()),
+                       "the log service doesn't answer: " +
+                         gpErrorText(batch.status()));
   }
   stream_.SetEarliest(batch->earliest_);
   for (const gpLogRecord& record : batch->records_) {
--- a/Source/Command/gpDrainCommand.cxx
+++ b/Source/Command/gpDrainCommand.cxx
@@ -1,5 +1,6 @@
 #include "gpDrainCommand.h"
 
+#include "gpError.h"
 #include "gpLogOption.h"
 
 namespace {
@@ -34,7 +35,7 @@
   gpLogOption log(aValues);
   const absl::Status read = log.GetLog().ReadToEnd();
   if (!read.ok()) {
-    return Fail(aConsole, read);
+    return Fail(aConsole, "nothing was written: " + gpErrorText(read));
   }
   const gpVersionedConfiguration inForce = log.GetLog().GetInForce();
   if (inForce.version_ == gpConfigVersion()) {
@@ -47,13 +48,10 @@
                   << "\n";
     return gpExitCode::Success;
   }
-  const gpApplyId applyId = gpDrawApplyId();
-  const gpApplyResult result =
-    log.GetLog().Apply(file, applyId, inForce.version_);
-  const std::string text = gpApplyText(result, applyId);
-  if (result.end_ != gpApplyEnd::Applied) {
-    return Fail(aConsole, text);
+  const auto applied = log.Apply(file, inForce.version_);
+  if (!applied.ok()) {
+    return Fail(aConsole, applied.status());
   }
-  aConsole.out_ << text << "\n";
+  aConsole.out_ << *applied << "\n";
   return gpExitCode::Success;
 }
--- a/Source/Command/gpLogOption.cxx
+++ b/Source/Command/gpLogOption.cxx
@@ -35,22 +35,8 @@
   return text;
 }
 
-} // namespace
-
-void
-gpLogOption::AddTo(gpCommandOptions& aOptions)
-{
-  aOptions.AddAddress(kOption, "address of the log service");
-}
-
-gpLogOption::gpLogOption(const gpCommand::Values& aValues)
-  : access_(network_, aValues[kOption].as<gpAddress>())
-  , configurationLog_(access_)
-{
-}
-
 gpApplyId
-gpDrawApplyId()
+DrawApplyId()
 {
   std::random_device device;
   std::uniform_int_distribution<std::uint64_t> draw;
@@ -59,7 +45,7 @@
 }
 
 std::string
-gpApplyText(const gpApplyResult& aResult, const gpApplyId& aApplyId)
+Describe(const gpApplyResult& aResult, const gpApplyId& aApplyId)
 {
   const std::string why = gpErrorText(aResult.why_);
   switch (aResult.end_) {
@@ -80,3 +66,30 @@
          "\nlook for apply ID " + aApplyId.value_ +
          " with 'show' before you try again";
 }
+
+} // namespace
+
+void
+gpLogOption::AddTo(gpCommandOptions& aOptions)
+{
+  aOptions.AddAddress(kOption, "address of the log service");
+}
+
+gpLogOption::gpLogOption(const gpCommand::Values& aValues)
+  : access_(network_, aValues[kOption].as<gpAddress>())
+  , configurationLog_(access_)
+{
+}
+
+absl::StatusOr<std::string>
+gpLogOption::Apply(const gpConfiguration& aFile,
+                   std::optional<gpConfigVersion> aBase)
+{
+  const gpApplyId applyId = DrawApplyId();
+  const gpApplyResult result = configurationLog_.Apply(aFile, applyId, aBase);
+  const std::string text = Describe(result, applyId);
+  if (result.end_ != gpApplyEnd::Applied) {
+    return gpMakeError(gpErrorCodeOf(result.why_), text);
+  }
+  return text;
+}
--- a/Source/Command/gpLogOption.h
+++ b/Source/Command/gpLogOption.h
@@ -15,17 +15,13 @@
   explicit gpLogOption(const gpCommand::Values& aValues);
 
   gpConfigurationLog& GetLog() { return configurationLog_; }
+  /// Applies a file under a new apply ID. The text, or that of the error, says
+  /// how it ended.
+  absl::StatusOr<std::string> Apply(const gpConfiguration& aFile,
+                                    std::optional<gpConfigVersion> aBase);
 
 private:
   gpNetwork network_;
   gpLogOverHttp access_;
   gpConfigurationLog configurationLog_;
 };
-
-/// A random ID that no other apply has.
-gpApplyId
-gpDrawApplyId();
-
-/// Says how an apply ended, in one line or more.
-std::string
-gpApplyText(const gpApplyResult& aResult, const gpApplyId& aApplyId);
