--- a/Source/Configuration/gpJsonReader.cxx
+++ b/Source/Configuration/gpJsonReader.cxx
@@ -268,17 +268,14 @@
   errors_->push_back({ PathOf(aKey), std::move(aExpected) });
 }
 
-const json::value*
-gpJsonObject::FindPresent(std::string_view aKey,
-                          const std::string& aExpected,
-                          gpPresence aPresence)
+void
+gpJsonObject::AddMissing(std::string_view aKey,
+                         const std::string& aExpected,
+                         gpPresence aPresence)
 {
-  const json::value* value = Find(aKey);
-  const bool missing = object_ != nullptr && value == nullptr;
-  if (missing && aPresence == gpPresence::Required) {
+  if (object_ != nullptr && aPresence == gpPresence::Required) {
     AddError(aKey, aExpected + "; the field is missing");
   }
-  return value;
 }
 
 std::optional<std::uint64_t>
@@ -286,8 +283,9 @@
                          gpNumberRange aRange,
                          gpPresence aPresence)
 {
-  const json::value* value = FindPresent(aKey, RangeText(aRange), aPresence);
+  const json::value* value = Find(aKey);
   if (value == nullptr) {
+    AddMissing(aKey, RangeText(aRange), aPresence);
     return std::nullopt;
   }
   const auto number = ToUnsigned(*value);
@@ -328,8 +326,9 @@
                    const gpTextRule& aRule,
                    gpPresence aPresence)
 {
-  const json::value* value = FindPresent(aKey, aRule.expected_, aPresence);
+  const json::value* value = Find(aKey);
   if (value == nullptr) {
+    AddMissing(aKey, aRule.expected_, aPresence);
     return;
   }
   if (!value->is_string() || !aRule.accepts_(value->get_string())) {
@@ -342,8 +341,9 @@
 const json::array*
 gpJsonObject::FindList(std::string_view aKey, gpPresence aPresence)
 {
-  const json::value* value = FindPresent(aKey, "a list", aPresence);
+  const json::value* value = Find(aKey);
   if (value == nullptr) {
+    AddMissing(aKey, "a list", aPresence);
     return nullptr;
   }
   if (!value->is_array()) {
--- a/Source/Configuration/gpJsonReader.h
+++ b/Source/Configuration/gpJsonReader.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include <absl/container/inlined_vector.h>
 #include <boost/json.hpp>
 
 #include "gpConfigurationError.h"
@@ -192,19 +193,21 @@
   void Finish();
 
 private:
+  static constexpr std::size_t kUsualFields = 8;
+
   std::optional<std::uint64_t> ReadNumber(std::string_view aKey,
                                           gpNumberRange aRange,
                                           gpPresence aPresence);
-  const boost::json::value* FindPresent(std::string_view aKey,
-                                        const std::string& aExpected,
-                                        gpPresence aPresence);
+  void AddMissing(std::string_view aKey,
+                  const std::string& aExpected,
+                  gpPresence aPresence);
   const boost::json::array* FindList(std::string_view aKey,
                                      gpPresence aPresence);
 
   const boost::json::object* object_ = nullptr;
   std::string path_;
   gpJsonErrors* errors_;
-  std::vector<std::string_view> known_;
+  absl::InlinedVector<std::string_view, kUsualFields> known_;
 };
 
 /// Appends a step to a JSON pointer, with its escapes.
