--- a/Tests/Configuration/testConfigurationStream.cxx
+++ b/Tests/Configuration/testConfigurationStream.cxx
@@ -201,6 +201,8 @@
   reader.Read(4, { Checkpoint(9, "z", 4), Checkpoint(9, "z", 9) });
   reader.Check(5, "e", true);
   BOOST_TEST((reader.events_.back().verdict_ == Verdict::BadRecord));
+  reader.Read(6, { Checkpoint(2, "y", 5) });
+  reader.Check(5, "e", true);
 }
 
 BOOST_AUTO_TEST_CASE(ReaderThatMissedRecordsWaitsForACheckpoint)
--- a/Tests/Configuration/testRosterStream.cxx
+++ b/Tests/Configuration/testRosterStream.cxx
@@ -102,6 +102,24 @@
   BOOST_TEST(tooLate.rosters_.empty());
 }
 
+// Ten records of 1 MiB each are more than the fold keeps.
+BOOST_AUTO_TEST_CASE(KeepsABoundedNumberOfBytes)
+{
+  constexpr std::size_t kGuards = (1U << 20U) / 19;
+  std::vector<gpIncarnation> guards;
+  for (std::uint64_t guard = 1; guard <= kGuards; ++guard) {
+    guards.emplace_back(guard);
+  }
+  const std::vector<std::string> records(10, gpRenderRemove(guards));
+  Reader reader;
+  reader.Read(10, records);
+  BOOST_TEST(reader.steps_.empty());
+  reader.Read(20, { CheckpointOf({}, 9) });
+  BOOST_TEST(!reader.stream_.IsCurrent());
+  reader.Read(21, { CheckpointOf({}, 17) });
+  BOOST_TEST(reader.stream_.IsCurrent());
+}
+
 BOOST_AUTO_TEST_CASE(AdoptsARosterOnlyWithoutOne)
 {
   Reader whole;
