--- a/CMake/gpCompilerOptions.cmake
+++ b/CMake/gpCompilerOptions.cmake
@@ -9,3 +9,9 @@
   add_compile_options(-fsanitize=address,undefined -fno-omit-frame-pointer)
   add_link_options(-fsanitize=address,undefined)
 endif()
+
+if(GP_FUZZ)
+  add_compile_options(-fsanitize=fuzzer-no-link,address,undefined
+    -fno-sanitize-recover=all -fno-omit-frame-pointer)
+  add_link_options(-fsanitize=address,undefined)
+endif()
--- a/Source/Wire/gpWireReader.h
+++ b/Source/Wire/gpWireReader.h
@@ -3,8 +3,8 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <limits>
 #include <string>
+#include <type_traits>
 #include <vector>
 
 #include "gpIds.h"
@@ -89,6 +89,9 @@
     if (aIn == nullptr) {
       return Fail("vector missing");
     }
+    if (!IsAligned(*aIn)) {
+      return Fail("vector not aligned");
+    }
     if (!Charge(aIn->size() * sizeof(Model))) {
       return false;
     }
@@ -100,6 +103,16 @@
   }
 
 private:
+  /// The verifier sees to the alignment of all but a vector's structs. The
+  /// encoder aligns no vector that is empty.
+  template<typename Element>
+  static bool IsAligned(const flatbuffers::Vector<Element>& aIn)
+  {
+    using Value = std::remove_pointer_t<Element>;
+    const auto address = reinterpret_cast<std::uintptr_t>(aIn.Data());
+    return aIn.size() == 0 || address % alignof(Value) == 0;
+  }
+
   static constexpr std::chrono::years kLongestDuration{ 100 };
 
   /// Takes bytes that are copied out of the buffer off the budget.
