Decision: Send withdrawals and outcomes only to holders that granted

Cause: an entry that lost a claim told all three holders of its withdrawal, and a claimant told all three of the outcome, though only those that granted can use either. A round now knows who granted or may have, and the job keeps its grants. After a claimant's end all three holders are asked for the outcome, because only two have it.

--- a/Source/Decision/gpAdmissionPolicy.cxx
+++ b/Source/Decision/gpAdmissionPolicy.cxx
@@ -38,7 +38,7 @@
                          std::size_t aWaiting,
                          gpGuardDirectory& aGuards) const
 {
-  const auto nameFailure = CheckNames(aSubmission);
+  auto nameFailure = CheckNames(aSubmission);
   if (nameFailure.has_value()) {
     return nameFailure;
   }
@@ -49,7 +49,7 @@
     return Refuse(gpFailureCode::TooLarge, std::nullopt);
   }
   const gpMicros meanRun = aGuards.GetMeanRun(aSubmission.service_);
-  const auto teamFailure = CheckTeam(aSubmission, meanRun);
+  auto teamFailure = CheckTeam(aSubmission, meanRun);
   if (teamFailure.has_value()) {
     return teamFailure;
   }
--- a/Source/Decision/gpClaimRound.cxx
+++ b/Source/Decision/gpClaimRound.cxx
@@ -82,6 +82,10 @@
 gpRoundResult
 gpClaimRound::GetResult() const
 {
+  const bool mustHearAll = kind_ == Kind::LastLook && !answer_.has_value();
+  if (mustHearAll && Count(State::Idle) + Count(State::Asked) > 0) {
+    return gpRoundResult::Open;
+  }
   if (Count(State::Granted) >= kClaimQuorum) {
     return gpRoundResult::Won;
   }
@@ -91,7 +95,7 @@
   if (answer_.has_value()) {
     return gpRoundResult::Answered;
   }
-  const bool queryFound = kind_ == Kind::Query && claimant_.has_value();
+  const bool queryFound = kind_ != Kind::Claim && claimant_.has_value();
   const std::size_t possible = holders_.size() - Count(State::Denied);
   if (!queryFound && possible >= kClaimQuorum) {
     return gpRoundResult::Open;
@@ -103,15 +107,18 @@
 }
 
 std::vector<gpIncarnation>
-gpClaimRound::ListAsked() const
+gpClaimRound::ListPossibleGrants() const
 {
-  std::vector<gpIncarnation> asked;
+  std::vector<gpIncarnation> possible;
   for (const auto& [guard, holder] : holders_) {
-    if (holder.askedAt_ != gpTime{}) {
-      asked.push_back(guard);
+    const bool isPossible = holder.state_ == State::Asked ||
+                            holder.state_ == State::Silent ||
+                            holder.state_ == State::Granted;
+    if (isPossible) {
+      possible.push_back(guard);
     }
   }
-  return asked;
+  return possible;
 }
 
 std::size_t
@@ -123,6 +130,12 @@
     }));
 }
 
+std::size_t
+gpClaimRound::CountNeeded() const
+{
+  return kind_ == Kind::LastLook ? kClaimHolders : kClaimQuorum;
+}
+
 void
 gpClaimRound::MarkSilent(gpTime aNow, gpMillis aReplyTime)
 {
--- a/Source/Decision/gpClaimRound.h
+++ b/Source/Decision/gpClaimRound.h
@@ -33,6 +33,8 @@
   {
     Claim, ///< asks for the key
     Query, ///< asks who has the key
+    /// Asks all holders for the answer of a claimant that has ended.
+    LastLook,
   };
 
   gpClaimRound(Kind aKind,
@@ -56,8 +58,8 @@
   const std::optional<gpClaimant>& GetClaimant() const { return claimant_; }
   /// The key's answer, after Answered.
   const std::optional<gpAnswer>& GetAnswer() const { return answer_; }
-  /// Holders that may have granted.
-  std::vector<gpIncarnation> ListAsked() const;
+  /// Holders that granted, or may have.
+  std::vector<gpIncarnation> ListPossibleGrants() const;
 
 private:
   enum class State
@@ -77,6 +79,8 @@
   };
 
   std::size_t Count(State aState) const;
+  /// Holders that are to be asked unless some can't answer.
+  std::size_t CountNeeded() const;
   void MarkSilent(gpTime aNow, gpMillis aReplyTime);
 
   Kind kind_;
@@ -93,12 +97,12 @@
 std::vector<gpIncarnation>
 gpClaimRound::TakeToAsk(gpTime aNow, gpMillis aReplyTime, IsLinked aIsLinked)
 {
-  constexpr std::size_t kNeeded = 2;
+  const std::size_t needed = CountNeeded();
   MarkSilent(aNow, aReplyTime);
   std::vector<gpIncarnation> toAsk;
   for (const gpIncarnation guard : order_) {
     Holder& holder = holders_.at(guard);
-    const bool enough = Count(State::Asked) + Count(State::Granted) >= kNeeded;
+    const bool enough = Count(State::Asked) + Count(State::Granted) >= needed;
     if (enough || holder.state_ != State::Idle || holder.notBefore_ > aNow) {
       continue;
     }
--- a/Source/Decision/gpEntryClaims.cxx
+++ b/Source/Decision/gpEntryClaims.cxx
@@ -60,16 +60,17 @@
   const bool isClaim =
     found->second.round_.GetKind() == gpClaimRound::Kind::Claim;
   const gpServiceKey key = found->second.key_;
+  const auto holders = found->second.round_.ListPossibleGrants();
   active_.erase(found);
   if (isClaim) {
-    SendWithdraw(key, aJob, aNow, aOut);
+    SendWithdraw(key, aJob, holders, aNow, aOut);
   }
 }
 
 void
 gpEntryClaims::Withdraw(const gpJob& aJob, gpTime aNow, gpEffects& aOut)
 {
-  SendWithdraw(*gpKeyOf(aJob), aJob.id_, aNow, aOut);
+  SendWithdraw(*gpKeyOf(aJob), aJob.id_, aJob.grants_, aNow, aOut);
 }
 
 void
@@ -78,15 +79,15 @@
                              gpTime aNow,
                              gpEffects& aOut)
 {
-  SendWithdraw(aKey, aJob, aNow, aOut);
+  const auto holders = gpHoldersOf(roster_, aKey.service_, gpPartitionOf(aKey));
+  SendWithdraw(aKey, aJob, holders, aNow, aOut);
 }
 
 void
 gpEntryClaims::SendOutcome(const gpJob& aJob, gpEffects& aOut)
 {
   const gpServiceKey key = *gpKeyOf(aJob);
-  for (const gpIncarnation guard :
-       gpHoldersOf(roster_, key.service_, gpPartitionOf(key))) {
+  for (const gpIncarnation guard : aJob.grants_) {
     const auto link = links_.FindLink(guard);
     if (link.has_value()) {
       aOut.Send(*link, gpClaimOutcome{ key, aJob.id_, *aJob.answer_ });
@@ -178,7 +179,7 @@
     aActive.round_.TakeToAsk(aNow, timings_.claimReply_, isLinked);
   for (const gpIncarnation guard : toAsk) {
     const gpLinkId link = *links_.FindLink(guard);
-    if (aActive.round_.GetKind() == gpClaimRound::Kind::Query) {
+    if (aActive.round_.GetKind() != gpClaimRound::Kind::Claim) {
       aOut.Send(link, gpClaimQuery{ aActive.key_, aJob });
     } else {
       aOut.Send(link,
@@ -240,8 +241,10 @@
                        active.round_.GetKind(),
                        aResult,
                        active.round_.GetClaimant(),
-                       active.round_.GetAnswer() });
+                       active.round_.GetAnswer(),
+                       active.round_.ListPossibleGrants() });
   const gpServiceKey key = active.key_;
+  const auto holders = active.round_.ListPossibleGrants();
   active_.erase(found);
   if (!isClaim) {
     return;
@@ -249,20 +252,20 @@
   if (aResult == gpRoundResult::Won) {
     aOut.Write(ClaimEvent(gpEventKind::ClaimWon, key, aJob));
   } else {
-    SendWithdraw(key, aJob, aNow, aOut);
+    SendWithdraw(key, aJob, holders, aNow, aOut);
   }
 }
 
 void
 gpEntryClaims::SendWithdraw(const gpServiceKey& aKey,
                             const gpJobId& aJob,
+                            const std::vector<gpIncarnation>& aHolders,
                             gpTime aNow,
                             gpEffects& aOut)
 {
   withdrawn_.insert_or_assign(aJob, aNow + kWithdrawnKept);
   aOut.Write(ClaimEvent(gpEventKind::ClaimWithdrawn, aKey, aJob));
-  for (const gpIncarnation guard :
-       gpHoldersOf(roster_, aKey.service_, gpPartitionOf(aKey))) {
+  for (const gpIncarnation guard : aHolders) {
     const auto link = links_.FindLink(guard);
     if (link.has_value()) {
       aOut.Send(*link, gpClaimWithdraw{ aKey, aJob });
--- a/Source/Decision/gpEntryClaims.h
+++ b/Source/Decision/gpEntryClaims.h
@@ -24,6 +24,8 @@
   gpRoundResult result_ = gpRoundResult::Unavailable;
   std::optional<gpClaimant> claimant_;
   std::optional<gpAnswer> answer_;
+  /// Holders that granted the claim.
+  std::vector<gpIncarnation> grants_;
 };
 
 /** \class gpEntryClaims
@@ -96,6 +98,7 @@
               gpEffects& aOut);
   void SendWithdraw(const gpServiceKey& aKey,
                     const gpJobId& aJob,
+                    const std::vector<gpIncarnation>& aHolders,
                     gpTime aNow,
                     gpEffects& aOut);
 
--- a/Source/Decision/gpEntryJobs.cxx
+++ b/Source/Decision/gpEntryJobs.cxx
@@ -237,9 +237,10 @@
   if (job == nullptr) {
     return;
   }
-  if (aResult.kind_ == gpClaimRound::Kind::Query) {
+  if (aResult.kind_ != gpClaimRound::Kind::Claim) {
     OnQueryDone(*job, aResult, aNow, aOut);
   } else if (aResult.result_ == gpRoundResult::Won) {
+    job->grants_ = aResult.grants_;
     Run(*job, aNow, aOut);
   } else if (job->refusal_.has_value() &&
              aResult.result_ == gpRoundResult::Unavailable) {
@@ -269,7 +270,7 @@
       // The claimant may have given the answer to the holders before its end.
       job->phase_ = gpJobPhase::Claiming;
       job->claimantGone_ = true;
-      claims_.Begin(*job, gpClaimRound::Kind::Query, aNow, aOut);
+      claims_.Begin(*job, gpClaimRound::Kind::LastLook, aNow, aOut);
       break;
     case gpFollowEnd::Unreachable:
       End(*job,
--- a/Source/Decision/gpEntryReducer.cxx
+++ b/Source/Decision/gpEntryReducer.cxx
@@ -10,7 +10,7 @@
 
 } // namespace
 
-gpEntryReducer::gpEntryReducer(gpPeer aSelf,
+gpEntryReducer::gpEntryReducer(const gpPeer& aSelf,
                                gpTimings aTimings,
                                std::uint64_t aSeed)
   : timings_(aTimings)
--- a/Source/Decision/gpEntryReducer.h
+++ b/Source/Decision/gpEntryReducer.h
@@ -40,7 +40,7 @@
 class gpEntryReducer
 {
 public:
-  gpEntryReducer(gpPeer aSelf, gpTimings aTimings, std::uint64_t aSeed);
+  gpEntryReducer(const gpPeer& aSelf, gpTimings aTimings, std::uint64_t aSeed);
 
   std::vector<gpEffect> Reduce(const gpEntryEvent& aEvent);
   gpEntryStatus GetStatus() const;
