Decision: Rank the holders of a partition once for each roster

Cause: gp-measure showed the entry's time for a job of one task growing with the guards: each claim ranked all members of the service. Ruled out: the dispatch queue (jobs of 270 tasks grew far less for each task).

What still grows with the guards is the scan for one with room.

--- a/Source/Decision/gpEntryClaims.cxx
+++ b/Source/Decision/gpEntryClaims.cxx
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "gpHolderRanking.h"
-
 namespace {
 
 /// How long a withdrawn claim is remembered; more than any retention.
@@ -79,7 +77,7 @@
                              gpTime aNow,
                              gpEffects& aOut)
 {
-  const auto holders = gpHoldersOf(roster_, aKey.service_, gpPartitionOf(aKey));
+  const auto holders = holders_.HoldersOf(aKey);
   SendWithdraw(aKey, aJob, holders, aNow, aOut);
 }
 
@@ -104,7 +102,7 @@
 void
 gpEntryClaims::OnRoster(const gpRoster& aRoster, gpTime aNow, gpEffects& aOut)
 {
-  roster_ = aRoster;
+  holders_.SetRoster(aRoster);
   for (auto& [job, active] : active_) {
     // Verdicts of the old epoch don't count any more; claimants that were
     // granted at it are granted again.
@@ -158,12 +156,9 @@
 }
 
 gpClaimRound
-gpEntryClaims::MakeRound(const gpServiceKey& aKey,
-                         gpClaimRound::Kind aKind) const
+gpEntryClaims::MakeRound(const gpServiceKey& aKey, gpClaimRound::Kind aKind)
 {
-  return gpClaimRound(aKind,
-                      gpHoldersOf(roster_, aKey.service_, gpPartitionOf(aKey)),
-                      roster_.epoch_);
+  return gpClaimRound(aKind, holders_.HoldersOf(aKey), GetRoster().epoch_);
 }
 
 void
--- a/Source/Decision/gpEntryClaims.h
+++ b/Source/Decision/gpEntryClaims.h
@@ -7,6 +7,7 @@
 #include "gpClaimMessages.h"
 #include "gpClaimRound.h"
 #include "gpEffect.h"
+#include "gpHolderCache.h"
 #include "gpIds.h"
 #include "gpJob.h"
 #include "gpLinkBook.h"
@@ -73,7 +74,7 @@
   /// When OnTime has something to do; gpTime::max() if never.
   gpTime GetNextTime(gpTime aNow) const;
 
-  const gpRoster& GetRoster() const { return roster_; }
+  const gpRoster& GetRoster() const { return holders_.GetRoster(); }
 
 private:
   struct Active
@@ -86,8 +87,7 @@
     bool stale_ = false;
   };
 
-  gpClaimRound MakeRound(const gpServiceKey& aKey,
-                         gpClaimRound::Kind aKind) const;
+  gpClaimRound MakeRound(const gpServiceKey& aKey, gpClaimRound::Kind aKind);
   void Ask(const gpJobId& aJob, Active& aActive, gpTime aNow, gpEffects& aOut);
   /// Asks on, or notes the result and ends the round.
   void Advance(const gpJobId& aJob, gpTime aNow, gpEffects& aOut);
@@ -105,7 +105,7 @@
   gpAddress address_;
   gpTimings timings_;
   const gpLinkBook& links_;
-  gpRoster roster_;
+  gpHolderCache holders_;
   std::map<gpJobId, Active> active_;
   std::vector<gpClaimResult> results_;
   /// Claims that were withdrawn, until nobody can ask for them any more.
--- a/Tests/Measure/gpMeasure.cxx
+++ b/Tests/Measure/gpMeasure.cxx
@@ -190,6 +190,7 @@
       team.services_ = { gpServiceName("service") };
       configuration.teams_.emplace(team.name_, team);
     }
+    configuration.services_.begin()->second.limits_ = gpLimits{};
     configuration.services_.begin()->second.region_ = gpRegionName("region");
     const std::string text = gpRenderConfiguration(configuration);
     constexpr int kReads = 10;
@@ -233,13 +234,13 @@
   for (const auto& [name, message] : messages) {
     gpFrame frame;
     frame.messages_.assign(1, message);
-    const std::size_t alone = gpEncodeFrame(frame).size();
+    const std::size_t alone = gpFrameCodec::EncodeFrame(frame).size();
     frame.messages_.assign(30, message);
-    const std::string encoded = gpEncodeFrame(frame);
+    const std::string encoded = gpFrameCodec::EncodeFrame(frame);
     constexpr int kRounds = 300;
     const double micros = TimeOf([&] {
       for (int round = 0; round < kRounds; ++round) {
-        if (!gpDecodeFrame(gpEncodeFrame(frame)).ok()) {
+        if (!gpFrameCodec::DecodeFrame(gpFrameCodec::EncodeFrame(frame)).ok()) {
           std::cerr << "a frame can't be decoded\n";
         }
       }
