Decision: Start nothing after a job's deadline, and index guards by service

Cause of the first: the guards' records and the claims outlast any deadline, but an entry that was frozen for longer could still requeue a task whose record was gone, or use a claim that had run out. Found in review. Nothing is sent after the deadline now, and the ledger's retention is that of the claims, which the configuration holds to at least twice the longest deadline.

Cause of the second: each dispatch looked at all guards of all services.

Also: a target that left may come back beside the same guard; a lookup of a lost claimant is 'unknown', because its tasks can't be listed; claims are asked for anew at most five times; body_bytes is acted on.

--- a/Source/Decision/gpAdmissionPolicy.cxx
+++ b/Source/Decision/gpAdmissionPolicy.cxx
@@ -21,6 +21,16 @@
   return failure;
 }
 
+std::size_t
+BodyBytes(const gpSubmission& aSubmission)
+{
+  std::size_t bytes = 0;
+  for (const gpTaskRequest& task : aSubmission.tasks_) {
+    bytes += task.body_.size();
+  }
+  return bytes;
+}
+
 } // namespace
 
 const gpServiceConfig*
@@ -45,6 +55,7 @@
   const gpServiceConfig& service = *FindService(aSubmission.service_);
   const std::size_t tasks = aSubmission.tasks_.size();
   if (tasks > service.limits_.jobTasks_ ||
+      BodyBytes(aSubmission) > service.limits_.bodyBytes_ ||
       aSubmission.deadline_ > service.limits_.maxDeadline_) {
     return Refuse(gpFailureCode::TooLarge, std::nullopt);
   }
--- a/Source/Decision/gpEntryClaims.cxx
+++ b/Source/Decision/gpEntryClaims.cxx
@@ -6,7 +6,7 @@
 namespace {
 
 /// How long a withdrawn claim is remembered; more than any retention.
-constexpr gpMillis kWithdrawnKept{ 2 * 3600 * 1000 };
+constexpr gpMillis kWithdrawnKept{ 25 * 3600 * 1000 };
 /// Pause between two looks at rounds that are open.
 constexpr gpMillis kRoundPeriod{ 20 };
 
--- a/Source/Decision/gpEntryDispatch.cxx
+++ b/Source/Decision/gpEntryDispatch.cxx
@@ -338,6 +338,12 @@
     if (!task.has_value()) {
       return;
     }
+    // An entry that was frozen may find its job overdue. By then its claim and
+    // the guards' records may be forgotten, so nothing may start any more.
+    if (jobs_.Find(task->job_)->deadlineAt_ <= aNow) {
+      aService.queue_.Remove(*task);
+      continue;
+    }
     // A target that is to be tried again gets the next task.
     const auto probed =
       std::ranges::find_if(candidates, [](const gpGuardView* aGuard) {
--- a/Source/Decision/gpEntryJobs.cxx
+++ b/Source/Decision/gpEntryJobs.cxx
@@ -7,6 +7,8 @@
 
 /// When to come back for an answer that isn't settled yet.
 constexpr gpMillis kAskAgain{ 500 };
+/// Claims that a job asks for anew after a claimant withdrew.
+constexpr std::uint32_t kMaxClaimRounds = 5;
 
 gpFailure
 MakeFailure(gpFailureCode aCode,
@@ -404,6 +406,15 @@
 void
 gpEntryJobs::ClaimAgain(gpJob& aJob, gpTime aNow, gpEffects& aOut)
 {
+  // Entries that keep taking each other's grants must not go on for ever.
+  if (++aJob.claimRounds_ > kMaxClaimRounds) {
+    End(aJob,
+        MakeFailure(
+          gpFailureCode::ClaimUnavailable, gpOutcome::Unknown, kAskAgain),
+        aNow,
+        aOut);
+    return;
+  }
   gpJob& job = jobs_.Renew(aJob);
   job.phase_ = gpJobPhase::Claiming;
   job.claimantGone_ = false;
@@ -545,6 +556,9 @@
     const bool isLost = failure->code_ == gpFailureCode::ClaimLost;
     if (isLost && failure->mayHaveRun_.empty()) {
       failure->mayHaveRun_ = AllTasks(aJob);
+      // A lookup doesn't know the tasks, so it can't list them.
+      failure->outcome_ =
+        IsLookup(aJob) ? gpOutcome::Unknown : failure->outcome_;
     }
   }
   const bool isClaimant =
--- a/Source/Decision/gpGuardDirectory.cxx
+++ b/Source/Decision/gpGuardDirectory.cxx
@@ -1,6 +1,7 @@
 #include "gpGuardDirectory.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace {
 
@@ -43,10 +44,21 @@
   if (isNew) {
     guard.slots_ = aMember.slots_;
     guard.unlinkedSince_ = aNow;
+    byService_[aMember.service_].push_back(&guard);
   }
   return guard;
 }
 
+void
+gpGuardDirectory::Forget(gpIncarnation aGuard)
+{
+  gpGuardView* guard = Find(aGuard);
+  if (guard != nullptr) {
+    std::erase(byService_[guard->member_.service_], guard);
+    guards_.erase(aGuard);
+  }
+}
+
 gpGuardView*
 gpGuardDirectory::Find(gpIncarnation aGuard)
 {
@@ -57,13 +69,16 @@
 std::vector<gpGuardView*>
 gpGuardDirectory::ListUsable(const gpServiceName& aService)
 {
-  std::vector<gpGuardView*> usable;
-  for (auto& [incarnation, guard] : guards_) {
-    if (guard.member_.service_ == aService && guard.link_.has_value() &&
-        !guard.leaving_ && !guard.drained_) {
-      usable.push_back(&guard);
-    }
+  const auto found = byService_.find(aService);
+  if (found == byService_.end()) {
+    return {};
   }
+  std::vector<gpGuardView*> usable;
+  std::ranges::copy_if(
+    found->second, std::back_inserter(usable), [](const gpGuardView* aGuard) {
+      return aGuard->link_.has_value() && !aGuard->leaving_ &&
+             !aGuard->drained_;
+    });
   return usable;
 }
 
--- a/Source/Decision/gpGuardDirectory.h
+++ b/Source/Decision/gpGuardDirectory.h
@@ -55,7 +55,7 @@
   /// Adds the guard if it's new, else updates what it says of itself.
   gpGuardView& Learn(const gpMember& aMember, gpTime aNow);
   /// Removes the guard.
-  void Forget(gpIncarnation aGuard) { guards_.erase(aGuard); }
+  void Forget(gpIncarnation aGuard);
   gpGuardView* Find(gpIncarnation aGuard);
   std::map<gpIncarnation, gpGuardView>& GetAll() { return guards_; }
   const std::map<gpIncarnation, gpGuardView>& GetAll() const { return guards_; }
@@ -71,5 +71,7 @@
 
 private:
   std::map<gpIncarnation, gpGuardView> guards_;
+  /// The guards of each service; the map's nodes keep their places.
+  std::map<gpServiceName, std::vector<gpGuardView*>> byService_;
   std::map<gpServiceName, gpMicros> meanRuns_;
 };
--- a/Source/Decision/gpGuardReducer.cxx
+++ b/Source/Decision/gpGuardReducer.cxx
@@ -148,6 +148,12 @@
     return;
   }
   starts_.OnAnnounced(aEvent, out_);
+  if (targetLeft_ && targetReleased_ && !shutdown_) {
+    // The target was started again beside the same guard.
+    targetLeft_ = false;
+    targetReleased_ = false;
+    starts_.Return(out_);
+  }
   if (!isFirst || shutdown_) {
     return;
   }
@@ -259,6 +265,7 @@
   if (service != configuration_->services_.end()) {
     const gpClaimSettings& claims = service->second.claims_;
     claims_.SetRetention(claims.retention_, claims.logSilence_);
+    starts_.SetRetention(claims.retention_);
   }
 }
 
--- a/Source/Decision/gpGuardStarts.cxx
+++ b/Source/Decision/gpGuardStarts.cxx
@@ -4,10 +4,9 @@
 #include <array>
 #include <utility>
 
-namespace {
+#include "gpConfiguration.h"
 
-/// How long a guard remembers which tasks it started.
-constexpr gpMillis kLedgerRetention{ 600000 };
+namespace {
 
 gpTimelineEvent
 TaskEvent(gpEventKind aKind, const gpAttemptId& aAttempt)
@@ -44,7 +43,7 @@
 
 gpGuardStarts::gpGuardStarts(const gpLinkBook& aLinks)
   : links_(aLinks)
-  , ledger_(kLedgerRetention)
+  , ledger_(gpClaimSettings{}.retention_)
 {
 }
 
@@ -66,6 +65,13 @@
   ReportSlotsToAll(aOut);
 }
 
+void
+gpGuardStarts::Return(gpEffects& aOut)
+{
+  leaving_ = false;
+  ReportSlotsToAll(aOut);
+}
+
 void
 gpGuardStarts::SetDrained(bool aDrained, gpEffects& aOut)
 {
--- a/Source/Decision/gpGuardStarts.h
+++ b/Source/Decision/gpGuardStarts.h
@@ -24,9 +24,13 @@
 public:
   explicit gpGuardStarts(const gpLinkBook& aLinks);
 
+  /// How long the guard remembers which tasks it started.
+  void SetRetention(gpMillis aRetention) { ledger_.SetRetention(aRetention); }
   void OnAnnounced(const gpTargetAnnounced& aTarget, gpEffects& aOut);
   /// From now on nothing new is started. Reports it to all entries.
   void Leave(gpEffects& aOut);
+  /// The target came back after it had left.
+  void Return(gpEffects& aOut);
   /// The target is drained by the configuration, or no longer is.
   void SetDrained(bool aDrained, gpEffects& aOut);
 
--- a/Source/Decision/gpJob.h
+++ b/Source/Decision/gpJob.h
@@ -72,6 +72,8 @@
   /// What the job is answered if its key is free. Set if it was refused, or
   /// only asks for the answer of a key.
   std::optional<gpFailure> refusal_;
+  /// Claims asked for anew after another claimant withdrew.
+  std::uint32_t claimRounds_ = 0;
   /// Holders that granted the claim, once it's won.
   std::vector<gpIncarnation> grants_;
   /// The claimant that it followed has ended.
--- a/Source/Decision/gpStartLedger.h
+++ b/Source/Decision/gpStartLedger.h
@@ -29,6 +29,8 @@
 public:
   explicit gpStartLedger(gpMillis aRetention);
 
+  /// Must be longer than any job's deadline, after which nothing starts.
+  void SetRetention(gpMillis aRetention) { retention_ = aRetention; }
   /// Admits the attempt unless the task was started or the attempt refused.
   gpAdmission Admit(const gpAttemptId& aAttempt, gpTime aNow);
   /// Notes that the attempt is not run and never will be. An attempt that was
--- a/Source/Model/gpConfiguration.h
+++ b/Source/Model/gpConfiguration.h
@@ -28,7 +28,7 @@
   std::uint32_t queueTasks_ = 10000;
   /// Tasks of one job, 1 to 10000.
   std::uint32_t jobTasks_ = 270;
-  /// Bytes of one submission's body, 1 to 64 MiB.
+  /// Bytes of the bodies of one job's tasks, 1 to 64 MiB.
   std::uint32_t bodyBytes_ = 4U << 20U;
   /// Longest deadline a caller may ask for.
   gpMillis maxDeadline_{ 60000 };
