Process: Pass the newest configuration and roster on while the log is down

Cause: a process that started while the log service was down had neither configuration nor roster; gpConfigurationNews and gpRosterNews existed and nobody sent them. Weighed: telling every new link the whole state (48 KB for 740 teams, times 2,000 guards at the start of an entry), or a version in each report. Chosen: a process that can't read the log asks its peers, one a second and each that links; they answer only with what is newer.

Event kinds that nothing wrote are gone; link_up and link_down are written. The wire test skips the new message as it does the other one without a required field, and finds the first unknown type from the schema instead of a literal.

--- a/Source/Entry/gpEntryProcess.cxx
+++ b/Source/Entry/gpEntryProcess.cxx
@@ -89,13 +89,17 @@
   handlers.links_.up_ = [this](gpLinkId aLink,
                                const gpPeer& aPeer,
                                std::optional<gpAddress> aDialed) {
+    process_.NoteLinkOpened(aLink, aPeer);
     ReduceIfOpen(gpLinkOpened{ aLink, aPeer, std::move(aDialed) });
   };
   handlers.links_.down_ = [this](gpLinkId aLink, gpErrorCode aReason) {
+    process_.NoteLinkLost(aLink, aReason);
     ReduceIfOpen(gpLinkLost{ aLink, aReason });
   };
   handlers.links_.message_ = [this](gpLinkId aLink, gpMessage aMessage) {
-    ReduceIfOpen(gpMessageReceived{ aLink, std::move(aMessage) });
+    if (!process_.HandleNews(aLink, aMessage)) {
+      ReduceIfOpen(gpMessageReceived{ aLink, std::move(aMessage) });
+    }
   };
   handlers.links_.dialFailed_ = [this](const gpAddress& aAddress,
                                        gpErrorCode aReason) {
--- a/Source/Model/gpMessage.h
+++ b/Source/Model/gpMessage.h
@@ -46,6 +46,18 @@
   bool operator==(const gpAnnounce&) const = default;
 };
 
+/** \class gpNewsRequest
+ * \brief Any process to any: tell me what you have that is newer. Sent only
+ * while the sender can't read the log service.
+ */
+struct gpNewsRequest
+{
+  gpConfigVersion version_;
+  gpRosterEpoch epoch_;
+
+  bool operator==(const gpNewsRequest&) const = default;
+};
+
 /// All messages between the processes of the system.
 using gpMessage = std::variant<gpClaimRequest,
                                gpClaimReply,
@@ -65,4 +77,5 @@
                                gpSlotReport,
                                gpConfigurationNews,
                                gpRosterNews,
-                               gpAnnounce>;
+                               gpAnnounce,
+                               gpNewsRequest>;
--- a/Source/Model/gpTimelineEvent.cxx
+++ b/Source/Model/gpTimelineEvent.cxx
@@ -5,14 +5,13 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 41> kKindNames = {
+constexpr std::array<std::string_view, 38> kKindNames = {
   "process_started",
   "listening",
   "process_stopping",
   "process_stopped",
   "link_up",
   "link_down",
-  "job_received",
   "job_admitted",
   "job_answered",
   "job_attached",
@@ -24,11 +23,9 @@
   "claim_withdrawn",
   "claim_released",
   "claims_copied",
-  "claims_abstaining",
   "task_sent",
   "task_admitted",
   "task_refused",
-  "task_called",
   "task_ended",
   "task_in_doubt",
   "task_resolved",
--- a/Source/Process/gpProcess.cxx
+++ b/Source/Process/gpProcess.cxx
@@ -11,6 +11,8 @@
 constexpr int kUnavailable = 503;
 /// How often a process that ends looks whether all was written.
 constexpr gpMillis kDrainTime{ 5000 };
+/// Pause between two requests for news.
+constexpr gpMillis kNewsPeriod{ 1000 };
 
 gpIncarnation
 DrawIncarnation()
@@ -65,6 +67,7 @@
   started.kind_ = gpEventKind::ProcessStarted;
   started.detail_ = GP_VERSION;
   Write(started);
+  LookForNews();
   return Listen();
 }
 
@@ -133,6 +136,90 @@
   Write(event);
 }
 
+void
+gpProcess::NoteLinkOpened(gpLinkId aLink, const gpPeer& aPeer)
+{
+  peers_.insert_or_assign(aLink, aPeer.incarnation_);
+  gpTimelineEvent event;
+  event.kind_ = gpEventKind::LinkUp;
+  event.peer_ = aPeer.incarnation_;
+  event.detail_ = aPeer.name_;
+  Write(event);
+  if (!streams_.IsLogAvailable()) {
+    AskForNews(aLink);
+  }
+}
+
+void
+gpProcess::NoteLinkLost(gpLinkId aLink, gpErrorCode aReason)
+{
+  gpTimelineEvent event;
+  event.kind_ = gpEventKind::LinkDown;
+  event.detail_ = std::string(gpErrorName(aReason));
+  const auto found = peers_.find(aLink);
+  if (found != peers_.end()) {
+    event.peer_ = found->second;
+    peers_.erase(found);
+  }
+  Write(event);
+}
+
+bool
+gpProcess::HandleNews(gpLinkId aLink, const gpMessage& aMessage)
+{
+  if (const auto* request = std::get_if<gpNewsRequest>(&aMessage)) {
+    AnswerNews(aLink, *request);
+    return true;
+  }
+  if (const auto* news = std::get_if<gpConfigurationNews>(&aMessage)) {
+    streams_.Adopt(*news);
+    return true;
+  }
+  if (const auto* news = std::get_if<gpRosterNews>(&aMessage)) {
+    streams_.Adopt(*news);
+    return true;
+  }
+  return false;
+}
+
+void
+gpProcess::AskForNews(gpLinkId aLink)
+{
+  Send(aLink,
+       gpNewsRequest{ streams_.GetConfiguration().version_,
+                      streams_.GetRoster().epoch_ });
+}
+
+void
+gpProcess::AnswerNews(gpLinkId aLink, const gpNewsRequest& aRequest)
+{
+  auto configuration = streams_.MakeConfigurationNews();
+  if (configuration.has_value() &&
+      configuration->version_ > aRequest.version_) {
+    Send(aLink, std::move(*configuration));
+  }
+  auto roster = streams_.MakeRosterNews();
+  if (roster.has_value() && aRequest.epoch_ == gpRosterEpoch{}) {
+    Send(aLink, std::move(*roster));
+  }
+}
+
+void
+gpProcess::LookForNews()
+{
+  timers_.Subscribe(gpEventLoop::Now() + kNewsPeriod,
+                    [this] { LookForNews(); });
+  if (streams_.IsLogAvailable() || peers_.empty()) {
+    return;
+  }
+  auto next = peers_.upper_bound(askedForNews_);
+  if (next == peers_.end()) {
+    next = peers_.begin();
+  }
+  askedForNews_ = next->first;
+  AskForNews(askedForNews_);
+}
+
 void
 gpProcess::WakeAt(gpTime aWhen, std::function<void()> aHandler)
 {
--- a/Source/Process/gpProcess.h
+++ b/Source/Process/gpProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -64,6 +65,12 @@
   void NoteLogHealth(const absl::Status& aStatus);
   /// Writes a rejected record of the configuration stream to the time line.
   void NoteRejected(const gpConfigurationEvent& aEvent);
+  /// Notes a link, and asks its peer for news if the log can't be read.
+  void NoteLinkOpened(gpLinkId aLink, const gpPeer& aPeer);
+  void NoteLinkLost(gpLinkId aLink, gpErrorCode aReason);
+  /// Answers or takes over news of the configuration and roster. False if the
+  /// message is about something else.
+  bool HandleNews(gpLinkId aLink, const gpMessage& aMessage);
   /// Calls the handler at the time, in place of the one before.
   void WakeAt(gpTime aWhen, std::function<void()> aHandler);
   /// Answers /healthz, /readyz, /metrics and /v1/status. False if the request
@@ -92,9 +99,16 @@
   absl::Status Listen();
   std::string RenderStatus(const std::string& aFields) const;
   void UpdateTrafficMetrics();
+  void AskForNews(gpLinkId aLink);
+  void AnswerNews(gpLinkId aLink, const gpNewsRequest& aRequest);
+  /// Asks one peer after the other, while the log can't be read.
+  void LookForNews();
 
   gpProcessOptions options_;
   gpPeer self_;
   gpTimerId wake_;
+  std::map<gpLinkId, gpIncarnation> peers_;
+  /// The link that was asked for news last.
+  gpLinkId askedForNews_;
   bool stopping_ = false;
 };
--- a/Source/Wire/gpWireNews.cxx
+++ b/Source/Wire/gpWireNews.cxx
@@ -124,6 +124,21 @@
          ReadFormed(aReader, *aIn, aOut.roster_);
 }
 
+Offset<gpWire::NewsRequest>
+gpWriteWire(FlatBufferBuilder& aBuilder, const gpNewsRequest& aIn)
+{
+  return gpWire::CreateNewsRequest(
+    aBuilder, aIn.version_.value_, aIn.epoch_.value_);
+}
+
+bool
+gpReadWire(gpWireReader&, const gpWire::NewsRequest* aIn, gpNewsRequest& aOut)
+{
+  aOut.version_ = gpConfigVersion(aIn->version());
+  aOut.epoch_ = gpRosterEpoch(aIn->epoch());
+  return true;
+}
+
 Offset<gpWire::Announce>
 gpWriteWire(FlatBufferBuilder& aBuilder, const gpAnnounce& aIn)
 {
--- a/Source/Wire/gpWireNews.h
+++ b/Source/Wire/gpWireNews.h
@@ -22,6 +22,13 @@
            const gpWire::RosterNews* aIn,
            gpRosterNews& aOut);
 
+flatbuffers::Offset<gpWire::NewsRequest>
+gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpNewsRequest& aIn);
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::NewsRequest* aIn,
+           gpNewsRequest& aOut);
+
 flatbuffers::Offset<gpWire::Announce>
 gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpAnnounce& aIn);
 bool
--- a/Source/Wire/gpWire_generated.h
+++ b/Source/Wire/gpWire_generated.h
@@ -104,6 +104,9 @@
 struct RosterNews;
 struct RosterNewsBuilder;
 
+struct NewsRequest;
+struct NewsRequestBuilder;
+
 struct Announce;
 struct AnnounceBuilder;
 
@@ -515,11 +518,12 @@
   ConfigurationNews = 17,
   RosterNews = 18,
   Announce = 19,
+  NewsRequest = 20,
   MIN = NONE,
-  MAX = Announce
+  MAX = NewsRequest
 };
 
-inline const Message (&EnumValuesMessage())[20] {
+inline const Message (&EnumValuesMessage())[21] {
   static const Message values[] = {
     Message::NONE,
     Message::ClaimRequest,
@@ -540,13 +544,14 @@
     Message::SlotReport,
     Message::ConfigurationNews,
     Message::RosterNews,
-    Message::Announce
+    Message::Announce,
+    Message::NewsRequest
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[21] = {
+  static const char * const names[22] = {
     "NONE",
     "ClaimRequest",
     "ClaimReply",
@@ -567,13 +572,14 @@
     "ConfigurationNews",
     "RosterNews",
     "Announce",
+    "NewsRequest",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::Announce)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::NewsRequest)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -658,6 +664,10 @@
   static const Message enum_value = Message::Announce;
 };
 
+template<> struct MessageTraits<gpWire::NewsRequest> {
+  static const Message enum_value = Message::NewsRequest;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -3048,6 +3058,63 @@
       formed__);
 }
 
+struct NewsRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef NewsRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_EPOCH = 6
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct NewsRequestBuilder {
+  typedef NewsRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(NewsRequest::VT_VERSION, version, 0);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(NewsRequest::VT_EPOCH, epoch, 0);
+  }
+  explicit NewsRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<NewsRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<NewsRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<NewsRequest> CreateNewsRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    uint64_t epoch = 0) {
+  NewsRequestBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
+  builder_.add_version(version);
+  return builder_.Finish();
+}
+
+struct NewsRequest::Traits {
+  using type = NewsRequest;
+  static auto constexpr Create = CreateNewsRequest;
+};
+
 struct Announce FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef AnnounceBuilder Builder;
   struct Traits;
@@ -3448,6 +3515,10 @@
       auto ptr = reinterpret_cast<const gpWire::Announce *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::NewsRequest: {
+      auto ptr = reinterpret_cast<const gpWire::NewsRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Tests/Command/testCommandLine.cxx
+++ b/Tests/Command/testCommandLine.cxx
@@ -318,23 +318,23 @@
   const std::string job = R"("job":"00000000000000a1-1")";
   const File first(
     "command-first.jsonl",
-    R"({"event":"job_received","time":"2026-01-01T00:00:00.000001Z","clock":1,"process":"e1",)" +
+    R"({"event":"job_admitted","time":"2026-01-01T00:00:00.000001Z","clock":1,"process":"e1",)" +
       who + "," + job + R"(,"service":"a","key":"k1"})" + "\n" +
       R"({"event":"job_answered","time":"2026-01-01T00:00:00.000002Z","clock":9,"process":"e1",)" +
       who + "," + job + "}\n{\"event\":");
   const File second(
     "command-second.jsonl",
-    R"({"event":"task_called","time":"2026-01-01T00:00:00.000000Z","clock":5,"process":"g1",)" +
+    R"({"event":"task_admitted","time":"2026-01-01T00:00:00.000000Z","clock":5,"process":"g1",)" +
       who + "," + job + R"(,"task":0})" + "\n" +
       R"({"event":"link_up","time":"2026-01-01T00:00:00.000000Z","clock":2,"process":"g1",)" +
       who + "}\n");
   const Ran all = Run({ "timeline", first.name_, second.name_ });
   BOOST_TEST(all.code_ == 0);
   BOOST_TEST(all.err_.find("command-first.jsonl") != std::string::npos);
-  BOOST_TEST(all.out_ == "2026-01-01T00:00:00.000001Z 1 e1 job_received "
+  BOOST_TEST(all.out_ == "2026-01-01T00:00:00.000001Z 1 e1 job_admitted "
                          "job=00000000000000a1-1 service=a key=k1\n"
                          "2026-01-01T00:00:00.000000Z 2 g1 link_up\n"
-                         "2026-01-01T00:00:00.000000Z 5 g1 task_called "
+                         "2026-01-01T00:00:00.000000Z 5 g1 task_admitted "
                          "job=00000000000000a1-1 task=0\n"
                          "2026-01-01T00:00:00.000002Z 9 e1 job_answered "
                          "job=00000000000000a1-1\n");
--- a/Tests/Wire/gpSampleMessages.cxx
+++ b/Tests/Wire/gpSampleMessages.cxx
@@ -88,7 +88,8 @@
   return { gpConfigurationNews{
              gpConfigVersion(4), gpApplyId("a-9"), gpLogOffset(77), "{}" },
            gpRosterNews{ roster },
-           gpAnnounce{ kMember } };
+           gpAnnounce{ kMember },
+           gpNewsRequest{ gpConfigVersion(41), gpRosterEpoch(7) } };
 }
 
 } // namespace
--- a/Tests/Wire/testWire.cxx
+++ b/Tests/Wire/testWire.cxx
@@ -182,14 +182,17 @@
     return flatbuffers::Offset<void>(aBuilder.EndTable(aBuilder.StartTable()));
   };
   for (int type = 1; type <= static_cast<int>(gpWire::Message::MAX); ++type) {
-    if (static_cast<gpWire::Message>(type) == gpWire::Message::SlotReport) {
-      continue; // has no required field
+    const auto message = static_cast<gpWire::Message>(type);
+    const bool hasNoRequiredField = message == gpWire::Message::SlotReport ||
+                                    message == gpWire::Message::NewsRequest;
+    if (!hasNoRequiredField) {
+      BOOST_TEST(IsBadFrame(FrameOf(message, emptyTable)));
     }
-    BOOST_TEST(
-      IsBadFrame(FrameOf(static_cast<gpWire::Message>(type), emptyTable)));
   }
+  constexpr int kUnknown = static_cast<int>(gpWire::Message::MAX) + 1;
   BOOST_TEST(IsBadFrame(FrameOf(gpWire::Message::NONE, emptyTable)));
-  BOOST_TEST(IsBadFrame(FrameOf(static_cast<gpWire::Message>(20), emptyTable)));
+  BOOST_TEST(
+    IsBadFrame(FrameOf(static_cast<gpWire::Message>(kUnknown), emptyTable)));
 }
 
 BOOST_AUTO_TEST_CASE(SharedPartsDoNotMultiply)
