Integration: Prove starts, claims and links with real processes

The journals of the targets are the judge. The fault proxy can keep a fault to the connections that are open.

--- a/Tests/Integration/Harness/gpTestCluster.cxx
+++ b/Tests/Integration/Harness/gpTestCluster.cxx
@@ -178,6 +178,12 @@
   return gpBodyOf(http_.Get(aStandIn.Address("control"), "/control"));
 }
 
+std::map<std::string, std::size_t>
+gpTestCluster::ReadStarts() const
+{
+  return journals_.Read();
+}
+
 std::size_t
 gpTestCluster::TotalStarts() const
 {
@@ -285,6 +291,7 @@
   auto settings =
     CommonSettings<gpGuardSettings>("guard-" + std::to_string(aIndex), aIndex);
   settings.linkAdvertise_ = aAdvertised;
+  settings.timings_ = options_.guardTimings_.value_or(options_.timings_);
   for (const ProcessPtr& entry : entries_) {
     settings.entries_.push_back(entry->Address("links"));
   }
--- a/Tests/Integration/Harness/gpTestCluster.h
+++ b/Tests/Integration/Harness/gpTestCluster.h
@@ -2,7 +2,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,8 @@
   std::string service_ = "pond-order";
   std::string region_ = "gulf-south";
   gpTimings timings_{};
+  /// Timings of the guards, where they differ.
+  std::optional<gpTimings> guardTimings_{};
 };
 
 /** \class gpTestCluster
@@ -57,6 +61,7 @@
   /// One more target with its guard; returns its index.
   std::size_t AddTarget();
 
+  std::size_t GetEntryCount() const { return entries_.size(); }
   gpTestProcess& Log() { return *log_; }
   gpTestProcess& Entry(std::size_t aIndex) { return *entries_.at(aIndex); }
   gpTestProcess& Guard(std::size_t aIndex);
@@ -74,6 +79,8 @@
   std::string Show(gpTestProcess& aStandIn);
 
   /// Starts at all targets, also at those that were killed.
+  /// By "<submission>/<task>".
+  std::map<std::string, std::size_t> ReadStarts() const;
   std::size_t TotalStarts() const;
   std::size_t MaxStartsOfAnyTask() const;
   std::size_t StartsOf(const std::string& aKey, std::uint32_t aTask) const;
--- /dev/null
+++ b/Tests/Integration/Starts/testGuardKilled.cxx
@@ -0,0 +1,102 @@
+#include <boost/test/unit_test.hpp>
+
+#include "gpStartsFixture.h"
+
+namespace {
+
+/// Kills what runs the one task, asks elsewhere, and starts it again.
+class GuardKilled : public gpStartsFixture
+{
+public:
+  void KillWithATaskInFlight(bool aGuard, bool aTarget)
+  {
+    gpTestCall first = cluster_.Submit(0, job_);
+    WaitUntil("the start", [this] { return TotalStarts() > 0; });
+    const std::size_t place = FindGuardWith("task_admitted");
+    if (aGuard) {
+      cluster_.Guard(place).Kill();
+    }
+    if (aTarget) {
+      cluster_.Target(place).Kill();
+    }
+    gpTestCall second = cluster_.Submit(1, job_);
+    answer_ = Await(job_, first);
+    BOOST_TEST(answer_.outcome_ == "failed");
+    BOOST_TEST(answer_.mayHaveRun_.size() == 1U);
+    BOOST_TEST(Await(job_, second).outcome_ == "failed");
+    if (aGuard) {
+      cluster_.Guard(place).Start();
+    }
+    if (aTarget) {
+      cluster_.Target(place).Start();
+    }
+    cluster_.WaitUntilReady();
+    BOOST_TEST(Ask(0, job_).outcome_ == "failed");
+    BOOST_TEST(Ask(1, job_).outcome_ == "failed");
+    BOOST_TEST(TotalStarts() == 1U);
+    BOOST_TEST(Judge() == "");
+  }
+
+  const gpTestJob job_ = MakeJob("in-flight", 1, gpMillis(1500));
+  gpTestAnswer answer_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GuardAndTargetKilled)
+
+BOOST_FIXTURE_TEST_CASE(NoSecondStartWhenTheGuardIsKilled, GuardKilled)
+{
+  KillWithATaskInFlight(true, false);
+  BOOST_TEST(answer_.code_ == "task_in_doubt");
+}
+
+BOOST_FIXTURE_TEST_CASE(NoSecondStartWhenTheTargetIsKilled, GuardKilled)
+{
+  KillWithATaskInFlight(false, true);
+  BOOST_TEST(answer_.code_ == "task_failed");
+}
+
+BOOST_FIXTURE_TEST_CASE(NoSecondStartWhenBothAreKilled, GuardKilled)
+{
+  KillWithATaskInFlight(true, true);
+}
+
+// The claimant is dead, and two of the three who knew it have forgotten.
+BOOST_FIXTURE_TEST_CASE(NoSecondStartWhenTwoHoldersAreKilled, GuardKilled)
+{
+  const gpTestJob job = MakeJob("two-holders", 2, gpMillis(10));
+  BOOST_TEST(Ask(0, job).outcome_ == "complete");
+  cluster_.Entry(0).Kill();
+  cluster_.Guard(0).Kill();
+  cluster_.Guard(1).Kill();
+  BOOST_TEST(Ask(1, job).outcome_ != "");
+  cluster_.Guard(0).Start();
+  cluster_.Guard(1).Start();
+  cluster_.Entry(1).WaitForEvent("member_removed");
+  cluster_.Entry(0).Start();
+  cluster_.WaitUntilReady();
+  Ask(0, job);
+  Ask(1, job);
+  BOOST_TEST(TotalStarts() == job.tasks_.size());
+  BOOST_TEST(Judge() == "");
+}
+
+// Each pair of holders, as any two of the three may have granted.
+BOOST_FIXTURE_TEST_CASE(NoSecondStartWhichEverHoldersAreKilled, GuardKilled)
+{
+  for (std::size_t left = 0; left < kGuards; ++left) {
+    const gpTestJob job =
+      MakeJob("holder-left-" + std::to_string(left), 2, gpMillis(10));
+    BOOST_TEST(Ask(0, job).outcome_ == "complete");
+  }
+  cluster_.Entry(0).Kill();
+  cluster_.Guard(1).Kill();
+  cluster_.Guard(2).Kill();
+  for (std::size_t left = 0; left < kGuards; ++left) {
+    Ask(1, MakeJob("holder-left-" + std::to_string(left), 2, gpMillis(10)));
+  }
+  BOOST_TEST(Judge() == "");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/StandIns/gpFaultProxy.cxx
+++ b/Tests/StandIns/gpFaultProxy.cxx
@@ -55,7 +55,9 @@
   Tcp::acceptor acceptor_;
   Tcp::endpoint listen_;
   Tcp::endpoint server_;
+  /// Of the connections that are open, and of those to come.
   gpFaults faults_;
+  gpFaults laterFaults_;
   bool refusing_ = false;
   bool recording_ = false;
   /// Bytes to the server of each connection, in the order of their start.
@@ -109,7 +111,7 @@
   if (recording_) {
     Record(*connection);
   }
-  connection->Start(server_, faults_);
+  connection->Start(server_, laterFaults_);
 }
 
 void
@@ -184,6 +186,13 @@
 
 void
 gpFaultProxy::SetFaults(gpFaults aFaults)
+{
+  impl_->laterFaults_ = aFaults;
+  SetFaultsOfOpen(aFaults);
+}
+
+void
+gpFaultProxy::SetFaultsOfOpen(gpFaults aFaults)
 {
   impl_->faults_ = aFaults;
   // A connection may end while it's told.
@@ -198,6 +207,7 @@
 {
   impl_->CutAll();
   impl_->faults_ = {};
+  impl_->laterFaults_ = {};
 }
 
 absl::Status
--- a/Tests/StandIns/gpFaultProxy.h
+++ b/Tests/StandIns/gpFaultProxy.h
@@ -43,9 +43,12 @@
   absl::StatusOr<gpAddress> Listen(const gpAddress& aAddress);
   /// The server of the connections that come from now on.
   absl::Status SetServer(const gpAddress& aServer);
+  /// What was set last.
   gpFaults GetFaults() const;
   /// Also applies to the connections that are open.
   void SetFaults(gpFaults aFaults);
+  /// Applies to the connections that are open now only.
+  void SetFaultsOfOpen(gpFaults aFaults);
   /// Resets all connections; later ones pass.
   void Cut();
   /// Resets all connections and refuses new ones, or takes them again.
--- a/Tests/StandIns/gpProxyControl.cxx
+++ b/Tests/StandIns/gpProxyControl.cxx
@@ -17,6 +17,7 @@
 {
   std::string mode_;
   std::string direction_ = "both";
+  std::string connections_ = "all";
   std::uint32_t delayMs_ = 0;
   std::string server_;
 };
@@ -59,6 +60,10 @@
       direction != "to_client") {
     return gpMakeError(gpErrorCode::BadRequest, "no direction " + direction);
   }
+  if (aCommand.connections_ != "all" && aCommand.connections_ != "open") {
+    return gpMakeError(gpErrorCode::BadRequest,
+                       "no connections " + aCommand.connections_);
+  }
   gpFaults faults = aProxy.GetFaults();
   const gpFault fault{ .mode_ = aMode, .delay_ = gpMillis(aCommand.delayMs_) };
   if (direction != "to_client") {
@@ -67,6 +72,10 @@
   if (direction != "to_server") {
     faults.toClient_ = fault;
   }
+  if (aCommand.connections_ == "open") {
+    aProxy.SetFaultsOfOpen(faults);
+    return absl::OkStatus();
+  }
   aProxy.SetFaults(faults);
   aProxy.SetRecording(false);
   return aProxy.SetRefusing(false);
@@ -91,6 +100,7 @@
     gpReadFields(aBody,
                  { { "mode", gpReadInto(command.mode_) },
                    { "direction", gpReadInto(command.direction_) },
+                   { "connections", gpReadInto(command.connections_) },
                    { "delay_ms", gpReadInto(command.delayMs_) },
                    { "to", gpReadInto(command.server_) } });
   if (status.ok() && !command.server_.empty()) {
