Runtime, Process: Note broken frames in the time line

A connection to a link port that sent garbage or an oversized frame was closed and left no trace: no event, no counter. The cause is gpLinkService::OnLinkClosed, which told its user only of links that had been up or were dialed. Ruled out: the codec and the length limit, which both refuse with a typed code. Now such a code becomes the event bad_input.

Before: Operations, BadInput/ErrorIsTypedAndMemoryBoundedWhenFramesAreBad fails with "entry-0: the event didn't come (bad_input)". After: it passes.

--- a/Source/Entry/gpEntryProcess.cxx
+++ b/Source/Entry/gpEntryProcess.cxx
@@ -164,10 +164,7 @@
       Reduce(gpJobSubmitted{ aRequest, std::move(**parsed) });
       return;
     }
-    gpTimelineEvent event;
-    event.kind_ = gpEventKind::BadInput;
-    event.detail_ = std::string(gpErrorName(gpErrorCodeOf(parsed->status())));
-    process_.Write(event);
+    process_.NoteBadInput(gpErrorCodeOf(parsed->status()));
     process_.http_.Respond(
       aRequest,
       ToHttp(gpRenderFault(gpRequestFault::BadRequest,
--- a/Source/Process/gpProcess.cxx
+++ b/Source/Process/gpProcess.cxx
@@ -43,7 +43,7 @@
            timers_,
            clock_,
            MakeLinkSettings(aOptions.timings_),
-           std::move(aHandlers.links_))
+           WithBadInput(std::move(aHandlers.links_)))
   , streams_(timers_, log_, std::move(aHandlers.streams_))
   , roster_(timers_, log_, streams_)
   , options_(std::move(aOptions))
@@ -133,6 +133,22 @@
   Write(event);
 }
 
+void
+gpProcess::NoteBadInput(gpErrorCode aCode)
+{
+  gpTimelineEvent event;
+  event.kind_ = gpEventKind::BadInput;
+  event.detail_ = std::string(gpErrorName(aCode));
+  Write(event);
+}
+
+gpLinkService::Handlers
+gpProcess::WithBadInput(gpLinkService::Handlers aHandlers)
+{
+  aHandlers.badInput_ = [this](gpErrorCode aCode) { NoteBadInput(aCode); };
+  return aHandlers;
+}
+
 void
 gpProcess::WakeAt(gpTime aWhen, std::function<void()> aHandler)
 {
--- a/Source/Process/gpProcess.h
+++ b/Source/Process/gpProcess.h
@@ -64,6 +64,8 @@
   void NoteLogHealth(const absl::Status& aStatus);
   /// Writes a rejected record of the configuration stream to the time line.
   void NoteRejected(const gpConfigurationEvent& aEvent);
+  /// Notes input that could not be read in the time line.
+  void NoteBadInput(gpErrorCode aCode);
   /// Calls the handler at the time, in place of the one before.
   void WakeAt(gpTime aWhen, std::function<void()> aHandler);
   /// Answers /healthz, /readyz, /metrics and /v1/status. False if the request
@@ -90,6 +92,7 @@
 
 private:
   absl::Status Listen();
+  gpLinkService::Handlers WithBadInput(gpLinkService::Handlers aHandlers);
   std::string RenderStatus(const std::string& aFields) const;
   void UpdateTrafficMetrics();
 
--- a/Source/Runtime/gpLinkService.cxx
+++ b/Source/Runtime/gpLinkService.cxx
@@ -13,6 +13,27 @@
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+bool
+IsBadInput(gpErrorCode aCode, bool aWasUp)
+{
+  switch (aCode) {
+    case gpErrorCode::BadFrame:
+    case gpErrorCode::FrameOutOfOrder:
+    case gpErrorCode::ProtocolMismatch:
+    case gpErrorCode::ReplayedLink:
+      return true;
+    case gpErrorCode::FrameTooLarge:
+      // On a link that was up it may as well be a frame of this side.
+      return !aWasUp;
+    default:
+      return false;
+  }
+}
+
+} // namespace
+
 struct gpLinkService::Impl
   : public gpLinkObserver
   , public std::enable_shared_from_this<gpLinkService::Impl>
@@ -256,6 +277,9 @@
 gpLinkService::Impl::OnLinkClosed(gpLinkSession& aSession, gpErrorCode aCode)
 {
   RemoveSession(aSession);
+  if (handlers_.badInput_ && IsBadInput(aCode, aSession.WasUp())) {
+    handlers_.badInput_(aCode);
+  }
   if (aSession.WasUp()) {
     handlers_.down_(aSession.GetId(), aCode);
   } else if (aSession.GetDialed()) {
--- a/Source/Runtime/gpLinkService.h
+++ b/Source/Runtime/gpLinkService.h
@@ -76,6 +76,9 @@
     std::function<void(gpLinkId, gpMessage)> message_;
     /// An attempt to reach a watched address failed.
     std::function<void(const gpAddress&, gpErrorCode)> dialFailed_;
+    /// The other side broke a rule of the protocol; its connection is closed.
+    /// May be left out.
+    std::function<void(gpErrorCode)> badInput_{};
   };
 
   gpLinkService(gpEventLoop& aLoop,
