Decision: Send the cancels of one wave in one message a guard

A wave of callers that disconnect comes as one event each, and the entry sent the cancels of each event by themselves. Slots that were freed meanwhile took tasks whose callers were about to go as well.

Cancels now wait until no caller has disconnected for 10 ms, at most 100 ms, and at a shutdown not at all. Ruled out: the link's batching of a turn, which puts the messages into one frame but leaves them as many as they were.

A cancelled task keeps its slot 10 to 100 ms longer.

--- a/Source/Decision/gpEntryDispatch.h
+++ b/Source/Decision/gpEntryDispatch.h
@@ -56,6 +56,7 @@
   void Dispatch(gpTime aNow, gpEffects& aOut);
   /// Sends the cancels collected since the last call, one message a guard.
   void FlushCancels(gpEffects& aOut);
+  bool HasCancels() const { return !cancels_.empty(); }
 
   void OnGuardLinked(gpGuardView& aGuard, gpEffects& aOut);
   void OnGuardLost(gpGuardView& aGuard, gpTime aNow, gpEffects& aOut);
--- a/Source/Decision/gpEntryReducer.cxx
+++ b/Source/Decision/gpEntryReducer.cxx
@@ -7,6 +7,10 @@
 
 /// Period of housekeeping while nothing else is due.
 constexpr gpMillis kHeartbeat{ 250 };
+/// A wave of callers that disconnect has ended when none has for so long.
+constexpr gpMillis kCancelQuiet{ 10 };
+/// Longest time for which the cancels of one wave are collected.
+constexpr gpMillis kLongestCancelWave{ 100 };
 
 } // namespace
 
@@ -30,7 +34,7 @@
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
   Settle();
   dispatch_.Dispatch(now_, out_);
-  dispatch_.FlushCancels(out_);
+  SendCancels();
   ContinueShutdown();
   ScheduleWake();
   return out_.Take();
@@ -68,6 +72,7 @@
 void
 gpEntryReducer::On(const gpCallerGone& aEvent)
 {
+  lastCallerGoneAt_ = now_;
   jobs_.OnCallerGone(aEvent.request_, now_, out_);
 }
 
@@ -257,6 +262,25 @@
   }
 }
 
+void
+gpEntryReducer::SendCancels()
+{
+  // Each caller that disconnects is an event of its own. A message for each of
+  // them would also free slots for tasks whose callers are about to go.
+  if (!dispatch_.HasCancels()) {
+    return;
+  }
+  firstCancelAt_ = std::min(firstCancelAt_, now_);
+  const gpTime lastAt = std::max(firstCancelAt_, lastCallerGoneAt_);
+  cancelsAt_ =
+    std::min(lastAt + kCancelQuiet, firstCancelAt_ + kLongestCancelWave);
+  if (now_ >= cancelsAt_) {
+    cancelsAt_ = gpTime::max();
+    firstCancelAt_ = gpTime::max();
+    dispatch_.FlushCancels(out_);
+  }
+}
+
 void
 gpEntryReducer::ContinueShutdown()
 {
@@ -265,9 +289,9 @@
   }
   if (now_ >= shutdownEnd_) {
     jobs_.FailAll(now_, out_);
-    dispatch_.FlushCancels(out_);
   }
   if (jobTable_.CountOpen() == 0) {
+    dispatch_.FlushCancels(out_);
     stopped_ = true;
     out_.Add(gpStop{});
   }
@@ -281,6 +305,7 @@
   when = std::min(when, follows_.GetNextTime());
   when = std::min(when, claims_.GetNextTime(now_));
   when = std::min(when, shutdownEnd_);
+  when = std::min(when, cancelsAt_);
   // A round that goes on moves its own time; asking again at each event is
   // needless if an earlier wake is due anyway.
   if (wakeAt_ > now_ && wakeAt_ <= when) {
--- a/Source/Decision/gpEntryReducer.h
+++ b/Source/Decision/gpEntryReducer.h
@@ -76,6 +76,8 @@
   gpGuardView* FindGuard(gpLinkId aLink);
   /// Carries results between the parts until there are none left.
   void Settle();
+  /// Sends the cancels of a wave together, one message a guard.
+  void SendCancels();
   void ContinueShutdown();
   void ScheduleWake();
 
@@ -91,6 +93,11 @@
   gpEntryMembership membership_;
   gpEntryJobs jobs_;
   gpTime shutdownEnd_ = gpTime::max();
+  /// When the first of the cancels that are collected came.
+  gpTime firstCancelAt_ = gpTime::max();
+  gpTime lastCallerGoneAt_;
+  /// When the cancels that were collected are sent.
+  gpTime cancelsAt_ = gpTime::max();
   bool stopped_ = false;
   gpTime lastHeartbeat_;
   /// The time last asked for with gpWakeAt.
