--- a/Source/Process/gpProcess.h
+++ b/Source/Process/gpProcess.h
@@ -71,6 +71,8 @@
   /// Answers or takes over news of the configuration and roster. False if the
   /// message is about something else.
   bool HandleNews(gpLinkId aLink, const gpMessage& aMessage);
+  /// Notes input that could not be read in the time line.
+  void NoteBadInput(gpErrorCode aCode);
   /// Calls the handler at the time, in place of the one before.
   void WakeAt(gpTime aWhen, std::function<void()> aHandler);
   /// Answers /healthz, /readyz, /metrics and /v1/status. False if the request
@@ -97,6 +99,7 @@
 
 private:
   absl::Status Listen();
+  gpLinkService::Handlers WithBadInput(gpLinkService::Handlers aHandlers);
   std::string RenderStatus(const std::string& aFields) const;
   void UpdateTrafficMetrics();
   void AskForNews(gpLinkId aLink);
--- a/Tests/Integration/Harness/gpTestCluster.h
+++ b/Tests/Integration/Harness/gpTestCluster.h
@@ -82,6 +82,8 @@
   /// By "<submission>/<task>".
   std::map<std::string, std::size_t> ReadStarts() const;
   std::size_t TotalStarts() const;
+  /// Starts at one target.
+  std::size_t StartsAt(std::size_t aTarget) const;
   std::size_t MaxStartsOfAnyTask() const;
   std::size_t StartsOf(const std::string& aKey, std::uint32_t aTask) const;
 
