Decision: Let a few tasks wait for a slot at the guard

Entries can't know of each other's starts. Ruled out: claims and outcomes (exactly as many as needed), the heartbeat (11 guards, 3 entries, 1 a second).

A guard now keeps up to four tasks that arrive over its slots; they're admitted but not started, and still 'not run' on a cancel, a drain or a shutdown. An entry takes the tasks of others to end one by one within a mean run time of the last report, so that it needn't wait for the next one.

--- a/Source/Decision/gpEntryDispatch.cxx
+++ b/Source/Decision/gpEntryDispatch.cxx
@@ -156,10 +156,11 @@
 void
 gpEntryDispatch::OnSlotReport(gpGuardView& aGuard,
                               const gpSlotReport& aReport,
+                              gpTime aNow,
                               gpEffects& aOut)
 {
   aGuard.slots_ = aReport.slots_;
-  aGuard.NoteFree(aReport.freeSlots_);
+  aGuard.NoteFree(aReport.freeSlots_, aNow);
   if (aReport.leaving_ && !aGuard.leaving_) {
     aOut.Write(TargetEvent(gpEventKind::TargetLeaving, aGuard));
   }
@@ -176,7 +177,7 @@
   if (aGuard.inFlight_.erase(attempt) == 0) {
     return;
   }
-  aGuard.NoteFree(aRefused.freeSlots_);
+  aGuard.NoteFree(aRefused.freeSlots_, aNow);
   aGuard.health_.NoteNotRun();
   if (aRefused.reason_ == gpRefusal::Leaving) {
     aGuard.leaving_ = true;
@@ -197,7 +198,7 @@
   if (aGuard.inFlight_.erase(attempt) == 0) {
     return;
   }
-  aGuard.NoteFree(aResult.freeSlots_);
+  aGuard.NoteFree(aResult.freeSlots_, aNow);
   gpTask* task = FindAttempt(attempt);
   if (aResult.end_ == gpTaskEnd::Answered) {
     const gpMicros total =
@@ -329,7 +330,7 @@
   std::vector<gpGuardView*> candidates =
     guards_.ListUsable(aService.config_.name_);
   const auto isFull = [aNow](const gpGuardView* aGuard) {
-    return aGuard->CountRoom() == 0 || !aGuard->health_.MayStart(aNow);
+    return aGuard->CountRoom(aNow) == 0 || !aGuard->health_.MayStart(aNow);
   };
   std::erase_if(candidates, isFull);
   const gpMicros meanRun = guards_.GetMeanRun(aService.config_.name_);
--- a/Source/Decision/gpEntryDispatch.h
+++ b/Source/Decision/gpEntryDispatch.h
@@ -64,6 +64,7 @@
   void OnGuardGone(gpGuardView& aGuard, gpEffects& aOut);
   void OnSlotReport(gpGuardView& aGuard,
                     const gpSlotReport& aReport,
+                    gpTime aNow,
                     gpEffects& aOut);
   void OnRefused(gpGuardView& aGuard,
                  const gpStartRefused& aRefused,
--- a/Source/Decision/gpEntryReducer.cxx
+++ b/Source/Decision/gpEntryReducer.cxx
@@ -224,7 +224,7 @@
 {
   gpGuardView* guard = FindGuard(aLink);
   if (guard != nullptr) {
-    dispatch_.OnSlotReport(*guard, aMessage, out_);
+    dispatch_.OnSlotReport(*guard, aMessage, now_, out_);
   }
 }
 
--- a/Source/Decision/gpGuardDirectory.cxx
+++ b/Source/Decision/gpGuardDirectory.cxx
@@ -20,16 +20,21 @@
 } // namespace
 
 std::uint32_t
-gpGuardView::CountRoom() const
+gpGuardView::CountRoom(gpTime aNow) const
 {
+  const gpMicros horizon = meanRun_.count() == 0 ? kFirstMeanRun : meanRun_;
+  const gpMicros age = std::min(aNow - reportedAt_, horizon);
+  const auto ended =
+    static_cast<std::uint32_t>(age.count() * usedByOthers_ / horizon.count());
   const std::uint32_t used =
-    static_cast<std::uint32_t>(inFlight_.size()) + usedByOthers_;
+    static_cast<std::uint32_t>(inFlight_.size()) + usedByOthers_ - ended;
   return used >= slots_ ? 0 : slots_ - used;
 }
 
 void
-gpGuardView::NoteFree(std::uint32_t aFree)
+gpGuardView::NoteFree(std::uint32_t aFree, gpTime aNow)
 {
+  reportedAt_ = aNow;
   const std::uint32_t used = slots_ > aFree ? slots_ - aFree : 0;
   const auto own = static_cast<std::uint32_t>(inFlight_.size());
   usedByOthers_ = used > own ? used - own : 0;
--- a/Source/Decision/gpGuardDirectory.h
+++ b/Source/Decision/gpGuardDirectory.h
@@ -28,8 +28,10 @@
   bool leaving_ = false;
   bool drained_ = false;
   std::uint32_t slots_ = 0;
-  /// Slots that other entries were using when the guard last reported.
+  /// Slots that other entries were using when the guard last reported, and
+  /// when that was.
   std::uint32_t usedByOthers_ = 0;
+  gpTime reportedAt_;
   /// Attempts sent here that have not ended.
   std::set<gpAttemptId> inFlight_;
   gpTargetHealth health_;
@@ -40,10 +42,11 @@
   /// When its removal from the roster was last asked for.
   std::optional<gpTime> removalAsked_;
 
-  /// Slots that this entry may fill now.
-  std::uint32_t CountRoom() const;
+  /// Slots that this entry may fill now. Tasks of other entries are taken to
+  /// end one by one, within a mean run time of the report.
+  std::uint32_t CountRoom(gpTime aNow) const;
   /// Takes a report of the guard into account.
-  void NoteFree(std::uint32_t aFree);
+  void NoteFree(std::uint32_t aFree, gpTime aNow);
 };
 
 /** \class gpGuardDirectory
--- a/Source/Decision/gpGuardReducer.cxx
+++ b/Source/Decision/gpGuardReducer.cxx
@@ -136,7 +136,7 @@
   gpTimelineEvent event;
   event.kind_ = gpEventKind::ProcessStopping;
   out_.Write(std::move(event));
-  starts_.Leave(out_);
+  starts_.Leave(now_, out_);
 }
 
 void
@@ -182,7 +182,7 @@
   gpTimelineEvent event;
   event.kind_ = gpEventKind::TargetLeaving;
   out_.Write(std::move(event));
-  starts_.Leave(out_);
+  starts_.Leave(now_, out_);
 }
 
 void
@@ -260,7 +260,7 @@
     return;
   }
   starts_.SetDrained(
-    configuration_->drains_.contains(gpDrain{ self_.address_ }), out_);
+    configuration_->drains_.contains(gpDrain{ self_.address_ }), now_, out_);
   const auto service = configuration_->services_.find(self_.service_);
   if (service != configuration_->services_.end()) {
     const gpClaimSettings& claims = service->second.claims_;
--- a/Source/Decision/gpGuardStarts.cxx
+++ b/Source/Decision/gpGuardStarts.cxx
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Most tasks that wait for a slot. It covers entries that send to the same
+/// free slot at the same time; all others wait at the entries.
+constexpr std::size_t kMaxPending = 4;
+
 gpTimelineEvent
 TaskEvent(gpEventKind aKind, const gpAttemptId& aAttempt)
 {
@@ -59,9 +63,10 @@
 }
 
 void
-gpGuardStarts::Leave(gpEffects& aOut)
+gpGuardStarts::Leave(gpTime aNow, gpEffects& aOut)
 {
   leaving_ = true;
+  RefusePending(gpRefusal::Leaving, aNow, aOut);
   ReportSlotsToAll(aOut);
 }
 
@@ -73,12 +78,16 @@
 }
 
 void
-gpGuardStarts::SetDrained(bool aDrained, gpEffects& aOut)
+gpGuardStarts::SetDrained(bool aDrained, gpTime aNow, gpEffects& aOut)
 {
-  if (drained_ != aDrained) {
-    drained_ = aDrained;
-    ReportSlotsToAll(aOut);
+  if (drained_ == aDrained) {
+    return;
   }
+  drained_ = aDrained;
+  if (drained_) {
+    RefusePending(gpRefusal::Leaving, aNow, aOut);
+  }
+  ReportSlotsToAll(aOut);
 }
 
 void
@@ -108,9 +117,11 @@
     Refuse(aLink, attempt, *refusal, aNow, aOut);
     return;
   }
-  running_.insert(attempt);
-  aOut.Write(TaskEvent(gpEventKind::TaskAdmitted, attempt));
-  aOut.Add(gpCallTarget{ attempt, target_, aStart });
+  if (CountRunning() < slots_) {
+    Call(aStart, aOut);
+  } else {
+    pending_.push_back({ aStart, aNow });
+  }
 }
 
 void
@@ -149,6 +160,8 @@
     const gpAttemptState state = ledger_.Resolve(attempt, aNow);
     if (state == gpAttemptState::NeverSeen) {
       Refuse(aLink, attempt, gpRefusal::Cancelled, aNow, aOut);
+    } else if (RemovePending(attempt)) {
+      RefuseIfLinked(attempt, gpRefusal::Cancelled, aNow, aOut);
     } else if (state == gpAttemptState::Running && running_.contains(attempt)) {
       aOut.Write(TaskEvent(gpEventKind::TaskCancelled, attempt));
       aOut.Add(gpAbortCall{ attempt });
@@ -168,18 +181,14 @@
   if (running_.erase(aReply.attempt_) == 0) {
     return;
   }
-  const gpTaskId& task = aReply.attempt_.task_;
+  StartPending(aNow, aOut);
   if (!aReply.sent_) {
-    const auto link = links_.FindLink(task.job_.entry_);
-    ledger_.Refuse(aReply.attempt_, aNow);
-    if (link.has_value()) {
-      Refuse(*link, aReply.attempt_, gpRefusal::Connection, aNow, aOut);
-    }
+    RefuseIfLinked(aReply.attempt_, gpRefusal::Connection, aNow, aOut);
     OfferFreedSlot(aOut);
     return;
   }
   gpStartResult result;
-  result.task_ = task;
+  result.task_ = aReply.attempt_.task_;
   result.attempt_ = aReply.attempt_.attempt_;
   result.end_ = EndOf(aReply);
   result.result_ = aReply.response_.value_or(gpTaskResult{});
@@ -204,8 +213,75 @@
 std::uint32_t
 gpGuardStarts::CountFree() const
 {
-  const std::uint32_t running = CountRunning();
-  return IsLeaving() || running >= slots_ ? 0 : slots_ - running;
+  const std::uint32_t taken =
+    CountRunning() + static_cast<std::uint32_t>(pending_.size());
+  return IsLeaving() || taken >= slots_ ? 0 : slots_ - taken;
+}
+
+void
+gpGuardStarts::Call(gpStart aStart, gpEffects& aOut)
+{
+  const gpAttemptId attempt{ aStart.task_, aStart.attempt_ };
+  running_.insert(attempt);
+  aOut.Write(TaskEvent(gpEventKind::TaskAdmitted, attempt));
+  aOut.Add(gpCallTarget{ attempt, target_, std::move(aStart) });
+}
+
+void
+gpGuardStarts::StartPending(gpTime aNow, gpEffects& aOut)
+{
+  while (!pending_.empty() && CountRunning() < slots_) {
+    Pending next = std::move(pending_.front());
+    pending_.pop_front();
+    next.start_.remaining_ -=
+      std::chrono::floor<gpMillis>(aNow - next.arrivedAt_);
+    if (next.start_.remaining_ > gpMillis(0)) {
+      Call(std::move(next.start_), aOut);
+    } else {
+      RefuseIfLinked({ next.start_.task_, next.start_.attempt_ },
+                     gpRefusal::Expired,
+                     aNow,
+                     aOut);
+    }
+  }
+}
+
+void
+gpGuardStarts::RefusePending(gpRefusal aReason, gpTime aNow, gpEffects& aOut)
+{
+  for (const Pending& pending : std::exchange(pending_, {})) {
+    RefuseIfLinked(
+      { pending.start_.task_, pending.start_.attempt_ }, aReason, aNow, aOut);
+  }
+}
+
+bool
+gpGuardStarts::RemovePending(const gpAttemptId& aAttempt)
+{
+  const auto found =
+    std::ranges::find_if(pending_, [&](const Pending& aPending) {
+      return aPending.start_.task_ == aAttempt.task_ &&
+             aPending.start_.attempt_ == aAttempt.attempt_;
+    });
+  if (found == pending_.end()) {
+    return false;
+  }
+  pending_.erase(found);
+  return true;
+}
+
+void
+gpGuardStarts::RefuseIfLinked(const gpAttemptId& aAttempt,
+                              gpRefusal aReason,
+                              gpTime aNow,
+                              gpEffects& aOut)
+{
+  const auto link = links_.FindLink(aAttempt.task_.job_.entry_);
+  if (link.has_value()) {
+    Refuse(*link, aAttempt, aReason, aNow, aOut);
+  } else {
+    ledger_.Refuse(aAttempt, aNow);
+  }
 }
 
 std::optional<gpRefusal>
@@ -217,7 +293,7 @@
   if (aStart.remaining_ <= gpMillis(0)) {
     return gpRefusal::Expired;
   }
-  if (CountRunning() >= slots_) {
+  if (CountRunning() >= slots_ && pending_.size() >= kMaxPending) {
     return gpRefusal::NoSlot;
   }
   return std::nullopt;
--- a/Source/Decision/gpGuardStarts.h
+++ b/Source/Decision/gpGuardStarts.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -28,11 +29,11 @@
   void SetRetention(gpMillis aRetention) { ledger_.SetRetention(aRetention); }
   void OnAnnounced(const gpTargetAnnounced& aTarget, gpEffects& aOut);
   /// From now on nothing new is started. Reports it to all entries.
-  void Leave(gpEffects& aOut);
+  void Leave(gpTime aNow, gpEffects& aOut);
   /// The target came back after it had left.
   void Return(gpEffects& aOut);
   /// The target is drained by the configuration, or no longer is.
-  void SetDrained(bool aDrained, gpEffects& aOut);
+  void SetDrained(bool aDrained, gpTime aNow, gpEffects& aOut);
 
   void OnEntryLink(gpLinkId aLink, gpEffects& aOut);
   void OnLinkLost(gpLinkId aLink) { toldFree_.erase(aLink); }
@@ -62,7 +63,27 @@
   std::size_t CountRecords() const { return ledger_.GetSize(); }
 
 private:
-  /// A reason not to start it now; not set if it may start.
+  /// A task that waits for a slot. Entries can't know of each other's starts,
+  /// so more may arrive than there are free slots.
+  struct Pending
+  {
+    gpStart start_;
+    gpTime arrivedAt_;
+  };
+
+  void Call(gpStart aStart, gpEffects& aOut);
+  /// Starts waiting tasks while there are slots.
+  void StartPending(gpTime aNow, gpEffects& aOut);
+  /// Refuses all waiting tasks; they were not run.
+  void RefusePending(gpRefusal aReason, gpTime aNow, gpEffects& aOut);
+  /// Takes the attempt off the waiting tasks. False if it doesn't wait.
+  bool RemovePending(const gpAttemptId& aAttempt);
+  /// Refuses an attempt whose entry may not be linked any more.
+  void RefuseIfLinked(const gpAttemptId& aAttempt,
+                      gpRefusal aReason,
+                      gpTime aNow,
+                      gpEffects& aOut);
+  /// A reason not to take it; not set if it may start now or wait.
   std::optional<gpRefusal> FindRefusal(const gpStart& aStart) const;
   void Refuse(gpLinkId aLink,
               const gpAttemptId& aAttempt,
@@ -88,6 +109,7 @@
   bool leaving_ = false;
   bool drained_ = false;
   std::set<gpAttemptId> running_;
+  std::deque<Pending> pending_;
   /// Entries that were refused for want of a slot, longest waiting first.
   std::vector<gpIncarnation> refusedEntries_;
   /// The free slots that each entry was told last.
--- a/Source/Decision/gpPlacementPolicy.cxx
+++ b/Source/Decision/gpPlacementPolicy.cxx
@@ -67,7 +67,7 @@
   {
     gpGuardView* first = aCandidates[Draw(generator_, aCandidates.size())];
     gpGuardView* second = aCandidates[Draw(generator_, aCandidates.size())];
-    return second->CountRoom() > first->CountRoom() ? second : first;
+    return second->inFlight_.size() < first->inFlight_.size() ? second : first;
   }
 
 private:
