Decision: Don't guess at a target that refused, and let eight tasks wait

Cause: the refusals that were left came from entries that all guess at the same fast targets, and from jobs of 270 tasks that fill what an entry last heard of. After a refusal for want of a slot an entry now waits for the guard's offer or next report, and a guard keeps up to eight tasks that arrive over its slots.

--- a/Source/Decision/gpEntryDispatch.cxx
+++ b/Source/Decision/gpEntryDispatch.cxx
@@ -178,6 +178,7 @@
     return;
   }
   aGuard.NoteFree(aRefused.freeSlots_, aNow);
+  aGuard.awaitsOffer_ = aRefused.reason_ == gpRefusal::NoSlot;
   aGuard.health_.NoteNotRun();
   if (aRefused.reason_ == gpRefusal::Leaving) {
     aGuard.leaving_ = true;
--- a/Source/Decision/gpGuardDirectory.cxx
+++ b/Source/Decision/gpGuardDirectory.cxx
@@ -23,7 +23,8 @@
 gpGuardView::CountRoom(gpTime aNow) const
 {
   const gpMicros horizon = meanRun_.count() == 0 ? kFirstMeanRun : meanRun_;
-  const gpMicros age = std::min(aNow - reportedAt_, horizon);
+  const gpMicros age =
+    awaitsOffer_ ? gpMicros(0) : std::min(aNow - reportedAt_, horizon);
   const auto ended =
     static_cast<std::uint32_t>(age.count() * usedByOthers_ / horizon.count());
   const std::uint32_t used =
@@ -35,6 +36,7 @@
 gpGuardView::NoteFree(std::uint32_t aFree, gpTime aNow)
 {
   reportedAt_ = aNow;
+  awaitsOffer_ = false;
   const std::uint32_t used = slots_ > aFree ? slots_ - aFree : 0;
   const auto own = static_cast<std::uint32_t>(inFlight_.size());
   usedByOthers_ = used > own ? used - own : 0;
--- a/Source/Decision/gpGuardDirectory.h
+++ b/Source/Decision/gpGuardDirectory.h
@@ -32,6 +32,9 @@
   /// when that was.
   std::uint32_t usedByOthers_ = 0;
   gpTime reportedAt_;
+  /// The guard refused for want of a slot and will offer the next free one, so
+  /// this entry must not guess.
+  bool awaitsOffer_ = false;
   /// Attempts sent here that have not ended.
   std::set<gpAttemptId> inFlight_;
   gpTargetHealth health_;
--- a/Source/Decision/gpGuardStarts.cxx
+++ b/Source/Decision/gpGuardStarts.cxx
@@ -10,7 +10,7 @@
 
 /// Most tasks that wait for a slot. It covers entries that send to the same
 /// free slot at the same time; all others wait at the entries.
-constexpr std::size_t kMaxPending = 4;
+constexpr std::size_t kMaxPending = 8;
 
 gpTimelineEvent
 TaskEvent(gpEventKind aKind, const gpAttemptId& aAttempt)
