Integration: Sharpen the proofs of late starts and lost holders

A late start now reaches a guard that has the old link open, and its task goes to another one; a dozen keys cover each pair of holders.

--- a/Tests/Integration/Starts/testGuardKilled.cxx
+++ b/Tests/Integration/Starts/testGuardKilled.cxx
@@ -62,40 +62,32 @@
   KillWithATaskInFlight(true, true);
 }
 
-// The claimant is dead, and two of the three who knew it have forgotten.
+// The claimant is dead, and two of the three who knew it are or have forgotten.
+// Of so many keys each pair of holders has granted some.
 BOOST_FIXTURE_TEST_CASE(NoSecondStartWhenTwoHoldersAreKilled, GuardKilled)
 {
-  const gpTestJob job = MakeJob("two-holders", 2, gpMillis(10));
-  BOOST_TEST(Ask(0, job).outcome_ == "complete");
+  constexpr std::size_t kKeys = 12;
+  std::vector<gpTestJob> jobs;
+  for (std::size_t i = 0; i < kKeys; ++i) {
+    jobs.push_back(MakeJob("holders-" + std::to_string(i), 2, gpMillis(5)));
+    BOOST_TEST(Ask(0, jobs.back()).outcome_ == "complete");
+  }
   cluster_.Entry(0).Kill();
   cluster_.Guard(0).Kill();
   cluster_.Guard(1).Kill();
-  BOOST_TEST(Ask(1, job).outcome_ != "");
+  for (const gpTestJob& job : jobs) {
+    Ask(1, job);
+  }
   cluster_.Guard(0).Start();
   cluster_.Guard(1).Start();
   cluster_.Entry(1).WaitForEvent("member_removed");
   cluster_.Entry(0).Start();
   cluster_.WaitUntilReady();
-  Ask(0, job);
-  Ask(1, job);
-  BOOST_TEST(TotalStarts() == job.tasks_.size());
-  BOOST_TEST(Judge() == "");
-}
-
-// Each pair of holders, as any two of the three may have granted.
-BOOST_FIXTURE_TEST_CASE(NoSecondStartWhichEverHoldersAreKilled, GuardKilled)
-{
-  for (std::size_t left = 0; left < kGuards; ++left) {
-    const gpTestJob job =
-      MakeJob("holder-left-" + std::to_string(left), 2, gpMillis(10));
-    BOOST_TEST(Ask(0, job).outcome_ == "complete");
-  }
-  cluster_.Entry(0).Kill();
-  cluster_.Guard(1).Kill();
-  cluster_.Guard(2).Kill();
-  for (std::size_t left = 0; left < kGuards; ++left) {
-    Ask(1, MakeJob("holder-left-" + std::to_string(left), 2, gpMillis(10)));
+  for (const gpTestJob& job : jobs) {
+    Ask(0, job);
+    Ask(1, job);
   }
+  BOOST_TEST(TotalStarts() == 2 * kKeys);
   BOOST_TEST(Judge() == "");
 }
 
--- a/Tests/Integration/Starts/testLateStarts.cxx
+++ b/Tests/Integration/Starts/testLateStarts.cxx
@@ -24,7 +24,9 @@
   }
 };
 
-/// The guards don't give up a silent link before the test's end.
+/// The guards don't give up a silent link before the test's end. The last
+/// target is slow, so that what was meant for it goes elsewhere when there's
+/// room.
 gpTestClusterOptions
 PatientGuards()
 {
@@ -69,17 +71,20 @@
   BOOST_TEST(Judge() == "");
 }
 
-// The guard still has the old link open when the new one resolves the start.
+// The guard still has the old link open when the new one resolves the starts.
 BOOST_FIXTURE_TEST_CASE(StartsAreReleasedAfterTheyWereResolved,
                         PatientGuardsFixture)
 {
-  const gpTestJob job = MakeJob("resolved", 3, gpMillis(20));
-  gpTestCall call = SubmitAndHoldStarts(job, "open");
-  // The entries hear nothing on these links any more, and make new ones.
-  SetLinks("hold", "both", "open");
-  WaitAtGuards("task_tombstoned", 1);
-  SetLinks("pass");
+  constexpr std::size_t kHeld = kGuards - 1;
+  // As many tasks as slots, so that each target is to run its share; what the
+  // held one has not run is spread over all of them.
+  const gpTestJob job = MakeJob("resolved", 12, gpMillis(5));
+  cluster_.Control(cluster_.Proxy(kHeld),
+                   R"({"mode":"hold","connections":"open"})");
+  gpTestCall call = cluster_.Submit(0, job);
+  cluster_.Guard(kHeld).WaitForEvent("task_tombstoned");
   BOOST_TEST(Await(job, call).outcome_ == "complete");
+  SetLinks("pass");
   WaitForTheEndOfOldLinks();
   BOOST_TEST(TotalStarts() == job.tasks_.size());
   BOOST_TEST(Judge() == "");
--- a/Tests/Integration/Starts/testSleepers.cxx
+++ b/Tests/Integration/Starts/testSleepers.cxx
@@ -37,7 +37,7 @@
   WaitUntil("news of the claimant", [&] {
     const gpTestAnswer answer = Ask(1, job);
     BOOST_TEST(answer.outcome_ == "unknown");
-    return answer.code_ == "claim_unreachable";
+    return answer.outcome_ != "unknown" || answer.code_ == "claim_unreachable";
   });
   BOOST_TEST(TotalStarts() == 0U);
   cluster_.Entry(0).Thaw();
