--- a/Tests/Integration/Harness/gpTestCluster.cxx
+++ b/Tests/Integration/Harness/gpTestCluster.cxx
@@ -188,6 +188,12 @@
   return total;
 }
 
+std::size_t
+gpTestCluster::StartsAt(std::size_t aTarget) const
+{
+  return journals_.CountIn(aTarget);
+}
+
 std::size_t
 gpTestCluster::MaxStartsOfAnyTask() const
 {
--- a/Tests/Integration/Harness/gpTestCluster.h
+++ b/Tests/Integration/Harness/gpTestCluster.h
@@ -75,6 +75,8 @@
 
   /// Starts at all targets, also at those that were killed.
   std::size_t TotalStarts() const;
+  /// Starts at one target.
+  std::size_t StartsAt(std::size_t aTarget) const;
   std::size_t MaxStartsOfAnyTask() const;
   std::size_t StartsOf(const std::string& aKey, std::uint32_t aTask) const;
 
--- a/Tests/Integration/Harness/gpTestJournals.cxx
+++ b/Tests/Integration/Harness/gpTestJournals.cxx
@@ -1,6 +1,8 @@
 #include "gpTestJournals.h"
 
+#include <algorithm>
 #include <fstream>
+#include <iterator>
 #include <utility>
 
 void
@@ -22,3 +24,11 @@
   }
   return starts;
 }
+
+std::size_t
+gpTestJournals::CountIn(std::size_t aIndex) const
+{
+  std::ifstream file(files_.at(aIndex));
+  return static_cast<std::size_t>(
+    std::count(std::istreambuf_iterator<char>(file), {}, '\n'));
+}
--- a/Tests/Integration/Harness/gpTestJournals.h
+++ b/Tests/Integration/Harness/gpTestJournals.h
@@ -18,6 +18,8 @@
   void Add(std::filesystem::path aFile);
   /// Starts by "<submission>/<task>".
   std::map<std::string, std::size_t> Read() const;
+  /// All starts in the file that was added as the aIndex-th, from 0.
+  std::size_t CountIn(std::size_t aIndex) const;
 
 private:
   std::vector<std::filesystem::path> files_;
--- a/Tests/Integration/Harness/gpTestProcess.cxx
+++ b/Tests/Integration/Harness/gpTestProcess.cxx
@@ -227,6 +227,13 @@
     [&](const gpTestEvent& aEvent) { return aEvent.Is(aKind, aFields); }));
 }
 
+const std::vector<gpTestEvent>&
+gpTestProcess::GetEvents()
+{
+  events_.Poll();
+  return events_.GetEvents();
+}
+
 gpAddress
 gpTestProcess::Address(const std::string& aPurpose)
 {
--- a/Tests/Integration/Harness/gpTestProcess.h
+++ b/Tests/Integration/Harness/gpTestProcess.h
@@ -76,6 +76,8 @@
                            gpMillis aPatience = kTestPatience);
   std::size_t CountEvents(const std::string& aKind,
                           const gpTestFields& aFields = {});
+  /// All events of the process since its last start.
+  const std::vector<gpTestEvent>& GetEvents();
   /// Where the process listens: "service" or "control" of a stand-in, "http"
   /// or "links" of an entry or guard. Waits for it.
   gpAddress Address(const std::string& aPurpose);
--- /dev/null
+++ b/Tests/Integration/Operations/gpOperatorCall.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gpTestFolder.h"
+#include "gpTestProcess.h"
+
+/// How a call of the program gypsumpoint ended.
+struct gpOperatorResult
+{
+  int exit_ = -1;
+  std::string out_;
+  std::string err_;
+};
+
+/** \class gpOperatorCall
+ * \brief One call of the program gypsumpoint, which runs beside the test.
+ */
+class gpOperatorCall
+{
+public:
+  explicit gpOperatorCall(std::vector<std::string> aArguments);
+
+  bool IsRunning() { return process_->IsRunning(); }
+  /// Waits for the end.
+  gpOperatorResult Wait();
+
+private:
+  std::string Read(const std::string& aFile) const;
+
+  std::unique_ptr<gpTestFolder> folder_;
+  std::unique_ptr<gpTestProcess> process_;
+};
+
+/// Calls gypsumpoint and waits for its end.
+gpOperatorResult
+gpOperate(std::vector<std::string> aArguments);
+
+/** \class gpTestFile
+ * \brief A file with a text, removed at the end of its scope.
+ */
+class gpTestFile
+{
+public:
+  explicit gpTestFile(const std::string& aText);
+  std::string Path() const { return (folder_.Path() / "file.json").string(); }
+
+private:
+  gpTestFolder folder_;
+};
--- /dev/null
+++ b/Tests/Integration/Operations/gpRawSocket.cxx
@@ -0,0 +1,82 @@
+#include "gpRawSocket.h"
+
+#include <array>
+#include <cerrno>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include "gpTestFailure.h"
+#include "gpTestProcess.h"
+
+namespace {
+
+sockaddr_in
+ToSocketAddress(const gpAddress& aServer)
+{
+  const std::size_t colon = aServer.value_.find(':');
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(
+    static_cast<std::uint16_t>(std::stoi(aServer.value_.substr(colon + 1))));
+  inet_pton(
+    AF_INET, aServer.value_.substr(0, colon).c_str(), &address.sin_addr);
+  return address;
+}
+
+} // namespace
+
+gpRawSocket::gpRawSocket(const gpAddress& aServer)
+  : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+  const sockaddr_in address = ToSocketAddress(aServer);
+  const timeval patience{ kTestPatience.count() / 1000, 0 };
+  setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+  setsockopt(socket_, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof(patience));
+  if (connect(socket_,
+              reinterpret_cast<const sockaddr*>(&address),
+              sizeof(address)) != 0) {
+    close(socket_);
+    throw gpTestFailure("can't connect to " + aServer.value_);
+  }
+}
+
+gpRawSocket::~gpRawSocket()
+{
+  close(socket_);
+}
+
+bool
+gpRawSocket::Send(const std::string& aBytes) const
+{
+  std::size_t sent = 0;
+  while (sent < aBytes.size()) {
+    const ssize_t count =
+      send(socket_, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+    if (count <= 0) {
+      return false;
+    }
+    sent += static_cast<std::size_t>(count);
+  }
+  return true;
+}
+
+std::string
+gpRawSocket::ReadToEnd() const
+{
+  std::string text;
+  std::array<char, 4096> part{};
+  for (;;) {
+    const ssize_t count = recv(socket_, part.data(), part.size(), 0);
+    if (count > 0) {
+      text.append(part.data(), static_cast<std::size_t>(count));
+    } else if (count < 0 && errno == EAGAIN) {
+      throw gpTestFailure("the server neither answers nor closes");
+    } else {
+      return text;
+    }
+  }
+}
--- /dev/null
+++ b/Tests/Integration/Operations/testRefusals.cxx
@@ -0,0 +1,135 @@
+#include <boost/test/unit_test.hpp>
+
+#include "gpOperationsCluster.h"
+
+using boost::unit_test::timeout;
+
+namespace {
+
+constexpr gpMillis kLearnedRunTime(1000);
+/// The tasks ahead run so long; answers must come before one of them ends.
+constexpr gpMillis kRunTimeAhead(3000);
+constexpr std::size_t kTasksAhead = 8;
+/// Each with one slot; a claim needs two holders.
+constexpr std::size_t kTargets = 2;
+constexpr gpTestLimits kLimits{ .queueTasks_ = 8,
+                                .jobTasks_ = 9,
+                                .teamTasks_ = 12 };
+
+/// What an answer must be.
+struct Expected
+{
+  int status_;
+  std::string code_;
+  bool comesBack_;
+};
+
+/** \class BusyCluster
+ * \brief Two targets that run a long task each, with six more waiting, and
+ * a mean run time of 1 s.
+ */
+struct BusyCluster
+{
+  BusyCluster()
+  {
+    cluster_.Apply(gpTestConfiguration(kLimits));
+    cluster_.WaitUntilReady();
+    BOOST_TEST_REQUIRE(gpIsWhole(
+      cluster_.SubmitAndWait(0, gpMakeNamedJob("first", 1, kLearnedRunTime)),
+      "first",
+      1));
+    ahead_ =
+      cluster_.Submit(0, gpMakeNamedJob("ahead", kTasksAhead, kRunTimeAhead));
+    gpWaitUntil("the slots are taken",
+                [this] { return cluster_.TotalStarts() == 1 + kTargets; });
+  }
+
+  /// Without a key and with one. It's final before a task ahead has ended.
+  void Check(gpTestJob aJob, const Expected& aExpected)
+  {
+    for (const char* key : { "", "order-1" }) {
+      aJob.key_ = key;
+      gpTestCall call = cluster_.Submit(0, aJob);
+      const gpHttpReply reply = call.reply_.get();
+      // One task, the first, has ended before.
+      BOOST_TEST(cluster_.Guard(0).CountEvents("task_ended") +
+                   cluster_.Guard(1).CountEvents("task_ended") ==
+                 1U);
+      const gpTestAnswer answer = gpReadAnswer(reply);
+      BOOST_TEST_INFO(aExpected.code_);
+      BOOST_TEST(answer.status_ == aExpected.status_);
+      BOOST_TEST(answer.code_ == aExpected.code_);
+      BOOST_TEST(answer.outcome_ == "not_run");
+      BOOST_TEST(answer.retryAfterMs_.has_value() == aExpected.comesBack_);
+      BOOST_TEST_REQUIRE(reply.response_.ok());
+      BOOST_TEST(reply.response_->headers_.contains("retry-after") ==
+                 aExpected.comesBack_);
+    }
+  }
+
+  void CheckNothingStarted()
+  {
+    BOOST_TEST(cluster_.StartsOf("order-1", 0) == 0U);
+    BOOST_TEST(cluster_.TotalStarts() == 1 + kTargets);
+    ahead_.cancel_();
+  }
+
+  gpTestCluster cluster_{ { .entries_ = 1,
+                            .targets_ = kTargets,
+                            .slots_ = 1,
+                            .timings_ = gpQuickTimings() } };
+  gpTestCall ahead_;
+};
+
+gpTestJob
+SmallJob(std::size_t aTasks)
+{
+  return gpMakeNamedJob("small", aTasks, gpMillis(1));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Refusals)
+
+BOOST_AUTO_TEST_CASE(NotRunIsSaidAtOnceWhenTheDeadlineCannotBeMet,
+                     *timeout(kCaseSeconds))
+{
+  BusyCluster busy;
+  // An answer that is held back until near it comes after the tasks ahead.
+  gpTestJob job = SmallJob(1);
+  job.deadline_ = gpMillis(3800);
+  busy.Check(job, { 504, "deadline_unmeetable", true });
+  busy.CheckNothingStarted();
+}
+
+BOOST_AUTO_TEST_CASE(NotRunIsSaidAtOnceWhenAJobFitsNowhere,
+                     *timeout(kCaseSeconds))
+{
+  BusyCluster busy;
+  busy.Check(SmallJob(kLimits.jobTasks_ + 1), { 413, "too_large", false });
+  gpTestJob club = SmallJob(3);
+  club.team_ = "pond-club";
+  busy.Check(club, { 413, "too_large", false });
+  gpTestJob patient = SmallJob(1);
+  patient.deadline_ = gpMillis(3000000);
+  busy.Check(patient, { 413, "too_large", false });
+  busy.CheckNothingStarted();
+}
+
+BOOST_AUTO_TEST_CASE(NotRunIsSaidAtOnceWhenTheQueueIsFull,
+                     *timeout(kCaseSeconds))
+{
+  BusyCluster busy;
+  busy.Check(SmallJob(3), { 503, "queue_full", true });
+  busy.CheckNothingStarted();
+}
+
+BOOST_AUTO_TEST_CASE(NotRunIsSaidAtOnceWhenTheQuotaIsUsedUp,
+                     *timeout(kCaseSeconds))
+{
+  BusyCluster busy;
+  busy.Check(SmallJob(5), { 429, "quota_exceeded", true });
+  busy.CheckNothingStarted();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
