--- a/Tests/Integration/Harness/gpTestCluster.cxx
+++ b/Tests/Integration/Harness/gpTestCluster.cxx
@@ -17,13 +17,14 @@
 constexpr std::size_t kTargetsPerRack = 3;
 
 /// The number of members in a /v1/status.
+/// A count of a status. Members may be given as a list.
 std::size_t
-MemberCount(const std::string& aStatus)
+StatusCount(const std::string& aStatus, const char* aField)
 {
   boost::system::error_code error;
   const boost::json::value value = boost::json::parse(aStatus, error);
   const boost::json::value* members =
-    error ? nullptr : value.as_object().if_contains("members");
+    error ? nullptr : value.as_object().if_contains(aField);
   if (members == nullptr) {
     return 0;
   }
@@ -99,9 +100,12 @@
     std::count_if(places_.begin(), places_.end(), [](const Place& aPlace) {
       return aPlace.guard_->IsRunning() && aPlace.target_->IsRunning();
     });
+  const auto expected = static_cast<std::size_t>(running);
+  const std::string status = gpBodyOf(http_.Get(address, "/v1/status"));
+  // A member that isn't linked yet can't be given work.
   return gpStatusOf(http_.Get(address, "/readyz")) == 200 &&
-         MemberCount(gpBodyOf(http_.Get(address, "/v1/status"))) ==
-           static_cast<std::size_t>(running);
+         StatusCount(status, "members") == expected &&
+         StatusCount(status, "linked") == expected;
 }
 
 std::size_t
