--- a/Source/Model/gpIds.h
+++ b/Source/Model/gpIds.h
@@ -64,6 +64,7 @@
   gpJobId job_;
   gpTaskIndex task_;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const gpTaskId&) const = default;
 
   template<typename H>
@@ -81,6 +82,7 @@
   gpServiceName service_;
   gpSubmissionKey key_;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const gpServiceKey&) const = default;
 
   template<typename H>
--- a/Source/Model/gpStartMessages.h
+++ b/Source/Model/gpStartMessages.h
@@ -87,6 +87,7 @@
   gpTaskId task_;
   gpAttempt attempt_;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const gpAttemptId&) const = default;
 };
 
--- a/Tests/Decision/gpClaimSearch.cxx
+++ b/Tests/Decision/gpClaimSearch.cxx
@@ -54,6 +54,7 @@
   std::size_t from_ = 0;
   std::size_t to_ = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Step&) const = default;
 
   bool CommutesWith(const Step& aOther) const
--- a/Tests/Decision/gpHistory.cxx
+++ b/Tests/Decision/gpHistory.cxx
@@ -221,7 +221,7 @@
 }
 
 void
-gpHistory::CarryOut(std::size_t aProcess, std::vector<gpEffect> aEffects)
+gpHistory::CarryOut(std::size_t aProcess, const std::vector<gpEffect>& aEffects)
 {
   for (const gpEffect& effect : aEffects) {
     std::visit([&](const auto& aEffect) { Carry(aProcess, aEffect); }, effect);
--- a/Tests/Decision/gpHistory.h
+++ b/Tests/Decision/gpHistory.h
@@ -88,6 +88,7 @@
   {
     std::string key_;
     std::uint32_t task_;
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const StartKey&) const = default;
   };
 
@@ -102,7 +103,7 @@
   void Reduce(std::size_t aProcess, gpGuardEvent aEvent);
   template<typename Input>
   void Give(std::size_t aProcess, Input aInput);
-  void CarryOut(std::size_t aProcess, std::vector<gpEffect> aEffects);
+  void CarryOut(std::size_t aProcess, const std::vector<gpEffect>& aEffects);
   void Carry(std::size_t aProcess, const gpSend& aEffect);
   void Carry(std::size_t aProcess, const gpAnswerCaller& aEffect);
   void Carry(std::size_t aProcess, const gpWatchAddress& aEffect);
--- a/Tests/Integration/Harness/gpTestCluster.cxx
+++ b/Tests/Integration/Harness/gpTestCluster.cxx
@@ -16,8 +16,7 @@
 constexpr std::size_t kDataCentres = 3;
 constexpr std::size_t kTargetsPerRack = 3;
 
-/// The number of members in a /v1/status.
-/// A count of a status. Members may be given as a list.
+/// A count in a /v1/status. Members may be given as a list.
 std::size_t
 StatusCount(const std::string& aStatus, const char* aField)
 {
