--- a/Source/Decision/gpEntryJobs.cxx
+++ b/Source/Decision/gpEntryJobs.cxx
@@ -3,82 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "gpJobFailure.h"
+
 namespace {
 
-/// When to come back for an answer that isn't settled yet.
-constexpr gpMillis kAskAgain{ 500 };
 /// Claims that a job asks for anew after a claimant withdrew.
 constexpr std::uint32_t kMaxClaimRounds = 5;
 
-gpFailure
-MakeFailure(gpFailureCode aCode,
-            gpOutcome aOutcome,
-            std::optional<gpMillis> aRetryAfter = std::nullopt)
-{
-  gpFailure failure;
-  failure.code_ = aCode;
-  failure.outcome_ = aOutcome;
-  failure.retryAfter_ = aRetryAfter;
-  return failure;
-}
-
-gpTimelineEvent
-JobEvent(gpEventKind aKind, const gpJob& aJob)
-{
-  gpTimelineEvent event;
-  event.kind_ = aKind;
-  event.job_ = aJob.id_;
-  event.key_ = gpKeyOf(aJob);
-  return event;
-}
-
-std::string
-DescribeAnswer(const gpAnswer& aAnswer)
-{
-  const auto* failure = std::get_if<gpFailure>(&aAnswer);
-  if (failure == nullptr) {
-    return "complete";
-  }
-  return std::string(gpOutcomeName(failure->outcome_)) + " " +
-         std::string(gpFailureName(failure->code_));
-}
-
-bool
-IsNotRun(const gpAnswer& aAnswer)
-{
-  const auto* failure = std::get_if<gpFailure>(&aAnswer);
-  return failure != nullptr && failure->outcome_ == gpOutcome::NotRun;
-}
-
-/// Whether the job only asks for the answer of a key.
-bool
-IsLookup(const gpJob& aJob)
-{
-  return aJob.tasks_.empty();
-}
-
-std::vector<gpTaskIndex>
-AllTasks(const gpJob& aJob)
-{
-  std::vector<gpTaskIndex> tasks;
-  for (std::uint32_t index = 0; index < aJob.tasks_.size(); ++index) {
-    tasks.emplace_back(index);
-  }
-  return tasks;
-}
-
-/// The failure when the holders could not confirm 'not run'. A final failure
-/// stays one.
-gpFailure
-Unconfirmed(gpFailure aFailure)
-{
-  if (aFailure.outcome_ == gpOutcome::NotRun) {
-    aFailure.outcome_ = gpOutcome::Unknown;
-    aFailure.retryAfter_ = aFailure.retryAfter_.value_or(kAskAgain);
-  }
-  return aFailure;
-}
-
 gpJob
 MakeJob(const gpJobSubmitted& aEvent, gpTime aNow)
 {
@@ -104,6 +35,7 @@
   , claims_(aClaims)
   , follows_(aFollows)
   , dispatch_(aDispatch)
+  , endings_(aJobs, aClaims, aFollows, aDispatch, admission_)
 {
 }
 
@@ -129,7 +61,7 @@
   const gpServiceName& service = job.submission_.service_;
   if (closed_) {
     const gpFailure failure =
-      MakeFailure(gpFailureCode::ShuttingDown, gpOutcome::NotRun, kAskAgain);
+      gpMakeFailure(gpFailureCode::ShuttingDown, gpOutcome::NotRun, kAskAgain);
     Refuse(std::move(job), failure, aNow, aOut);
     return;
   }
@@ -143,7 +75,7 @@
   job.admitted_ = true;
   const bool keyed = job.submission_.key_.has_value();
   gpJob& added = jobs_.Add(std::move(job), keyed);
-  aOut.Write(JobEvent(gpEventKind::JobAdmitted, added));
+  aOut.Write(gpJobEvent(gpEventKind::JobAdmitted, added));
   if (keyed) {
     added.phase_ = gpJobPhase::Claiming;
     claims_.Begin(added, gpClaimRound::Kind::Claim, aNow, aOut);
@@ -171,7 +103,7 @@
   lookup.submission_.key_ = aEvent.key_.key_;
   lookup.submission_.deadline_ = aEvent.wait_;
   Refuse(MakeJob(lookup, aNow),
-         MakeFailure(gpFailureCode::NotFound, gpOutcome::Unknown),
+         gpMakeFailure(gpFailureCode::NotFound, gpOutcome::Unknown),
          aNow,
          aOut);
 }
@@ -184,19 +116,19 @@
     return;
   }
   jobs_.RemoveRequest(aRequest);
-  aOut.Write(JobEvent(gpEventKind::CallerGone, *job));
+  aOut.Write(gpJobEvent(gpEventKind::CallerGone, *job));
   // With a key the caller can still come back for the answer.
-  const bool isWanted = job->submission_.key_.has_value() && !IsLookup(*job);
+  const bool isWanted = job->submission_.key_.has_value() && !gpIsLookup(*job);
   if (isWanted || !job->requests_.empty()) {
     return;
   }
   if (job->phase_ == gpJobPhase::Running) {
-    Fail(*job, gpFailureCode::Cancelled, aNow, aOut);
+    endings_.Fail(*job, gpFailureCode::Cancelled, aNow, aOut);
   } else {
-    End(*job,
-        MakeFailure(gpFailureCode::Cancelled, gpOutcome::Unknown),
-        aNow,
-        aOut);
+    endings_.End(*job,
+                 gpMakeFailure(gpFailureCode::Cancelled, gpOutcome::Unknown),
+                 aNow,
+                 aOut);
   }
 }
 
@@ -218,12 +150,12 @@
                                          job->phase_ == gpJobPhase::Claiming);
   if (mayWin) {
     job->attachers_.push_back({ aLink, aRequest.job_ });
-    aOut.Write(JobEvent(gpEventKind::JobAttached, *job));
+    aOut.Write(gpJobEvent(gpEventKind::JobAttached, *job));
     return;
   }
   if (job == nullptr && !claims_.IsWithdrawn(aRequest.job_)) {
     // It was claimed here and its answer has been forgotten.
-    reply.answer_ = MakeFailure(gpFailureCode::ClaimLost, gpOutcome::Failed);
+    reply.answer_ = gpMakeFailure(gpFailureCode::ClaimLost, gpOutcome::Failed);
   } else {
     claims_.WithdrawAgain(aRequest.key_, aRequest.job_, aNow, aOut);
   }
@@ -246,7 +178,7 @@
     Run(*job, aNow, aOut);
   } else if (job->refusal_.has_value() &&
              aResult.result_ == gpRoundResult::Unavailable) {
-    End(*job, Unconfirmed(*job->refusal_), aNow, aOut);
+    endings_.End(*job, gpUnconfirmed(*job->refusal_), aNow, aOut);
   } else {
     OnClaimLost(*job, aResult, aNow, aOut);
   }
@@ -263,7 +195,7 @@
   }
   switch (aResult.end_) {
     case gpFollowEnd::Answered:
-      End(*job, *aResult.answer_, aNow, aOut);
+      endings_.End(*job, *aResult.answer_, aNow, aOut);
       break;
     case gpFollowEnd::Withdrawn:
       ClaimAgain(*job, aNow, aOut);
@@ -275,11 +207,12 @@
       claims_.Begin(*job, gpClaimRound::Kind::LastLook, aNow, aOut);
       break;
     case gpFollowEnd::Unreachable:
-      End(*job,
-          MakeFailure(
-            gpFailureCode::ClaimUnreachable, gpOutcome::Unknown, kAskAgain),
-          aNow,
-          aOut);
+      endings_.End(*job,
+                   gpMakeFailure(gpFailureCode::ClaimUnreachable,
+                                 gpOutcome::Unknown,
+                                 kAskAgain),
+                   aNow,
+                   aOut);
       break;
   }
 }
@@ -292,9 +225,9 @@
     return;
   }
   if (aNews.failure_.has_value()) {
-    Fail(*job, *aNews.failure_, aNow, aOut);
+    endings_.Fail(*job, *aNews.failure_, aNow, aOut);
   } else if (job->open_ == 0) {
-    Complete(*job, aNow, aOut);
+    endings_.Complete(*job, aNow, aOut);
   }
 }
 
@@ -304,7 +237,7 @@
   for (const gpJobId& id : jobs_.TakeOverdue(aNow)) {
     gpJob* job = jobs_.Find(id);
     if (job != nullptr) {
-      Overdue(*job, aNow, aOut);
+      endings_.Overdue(*job, aNow, aOut);
     }
   }
   ExpireQueries(aNow, aOut);
@@ -317,9 +250,9 @@
   for (const gpJobId& id : jobs_.ListOpen()) {
     gpJob& job = *jobs_.Find(id);
     if (job.phase_ == gpJobPhase::Running) {
-      Fail(job, gpFailureCode::ShuttingDown, aNow, aOut);
+      endings_.Fail(job, gpFailureCode::ShuttingDown, aNow, aOut);
     } else {
-      Overdue(job, aNow, aOut);
+      endings_.Overdue(job, aNow, aOut);
     }
   }
 }
@@ -346,12 +279,12 @@
   if (known->submission_.digest_ != submission.digest_) {
     aOut.Add(gpAnswerCaller{
       aEvent.request_,
-      MakeFailure(gpFailureCode::KeyReused, gpOutcome::NotRun) });
+      gpMakeFailure(gpFailureCode::KeyReused, gpOutcome::NotRun) });
   } else if (known->answer_.has_value()) {
     aOut.Add(gpAnswerCaller{ aEvent.request_, *known->answer_ });
   } else {
     jobs_.AddRequest(*known, aEvent.request_);
-    aOut.Write(JobEvent(gpEventKind::JobAttached, *known));
+    aOut.Write(gpJobEvent(gpEventKind::JobAttached, *known));
   }
   return true;
 }
@@ -363,12 +296,12 @@
                     gpEffects& aOut)
 {
   const bool keyed = aJob.submission_.key_.has_value();
-  const bool isLookup = IsLookup(aJob);
+  const bool isLookup = gpIsLookup(aJob);
   aJob.phase_ = gpJobPhase::Claiming;
   aJob.refusal_ = aFailure;
   gpJob& job = jobs_.Add(std::move(aJob), keyed && !isLookup);
   if (!keyed) {
-    End(job, aFailure, aNow, aOut);
+    endings_.End(job, aFailure, aNow, aOut);
     return;
   }
   // The key may have been started through another entry. 'Not run' is true only
@@ -385,7 +318,7 @@
 {
   aJob.phase_ = gpJobPhase::Running;
   if (aJob.refusal_.has_value()) {
-    End(aJob, *aJob.refusal_, aNow, aOut);
+    endings_.End(aJob, *aJob.refusal_, aNow, aOut);
     return;
   }
   dispatch_.Enqueue(aJob, aNow);
@@ -398,8 +331,8 @@
                     gpEffects& aOut)
 {
   aJob.phase_ = gpJobPhase::Following;
-  AnswerAttachers(aJob, std::nullopt, aOut);
-  aOut.Write(JobEvent(gpEventKind::JobAttached, aJob));
+  endings_.AnswerAttachers(aJob, std::nullopt, aOut);
+  aOut.Write(gpJobEvent(gpEventKind::JobAttached, aJob));
   follows_.Begin(aJob, aClaimant, aNow, aOut);
 }
 
@@ -408,19 +341,20 @@
 {
   // Entries that keep taking each other's grants must not go on for ever.
   if (++aJob.claimRounds_ > kMaxClaimRounds) {
-    End(aJob,
-        MakeFailure(
-          gpFailureCode::ClaimUnavailable, gpOutcome::Unknown, kAskAgain),
-        aNow,
-        aOut);
+    endings_.End(aJob,
+                 gpMakeFailure(gpFailureCode::ClaimUnavailable,
+                               gpOutcome::Unknown,
+                               kAskAgain),
+                 aNow,
+                 aOut);
     return;
   }
   gpJob& job = jobs_.Renew(aJob);
   job.phase_ = gpJobPhase::Claiming;
   job.claimantGone_ = false;
   claims_.Begin(job,
-                IsLookup(job) ? gpClaimRound::Kind::Query
-                              : gpClaimRound::Kind::Claim,
+                gpIsLookup(job) ? gpClaimRound::Kind::Query
+                                : gpClaimRound::Kind::Claim,
                 aNow,
                 aOut);
 }
@@ -436,20 +370,21 @@
       Follow(aJob, *aResult.claimant_, aNow, aOut);
       break;
     case gpRoundResult::Answered:
-      End(aJob, *aResult.answer_, aNow, aOut);
+      endings_.End(aJob, *aResult.answer_, aNow, aOut);
       break;
     case gpRoundResult::OtherBody:
-      End(aJob,
-          MakeFailure(gpFailureCode::KeyReused, gpOutcome::NotRun),
-          aNow,
-          aOut);
+      endings_.End(aJob,
+                   gpMakeFailure(gpFailureCode::KeyReused, gpOutcome::NotRun),
+                   aNow,
+                   aOut);
       break;
     default:
-      End(aJob,
-          Unconfirmed(MakeFailure(
-            gpFailureCode::ClaimUnavailable, gpOutcome::NotRun, kAskAgain)),
-          aNow,
-          aOut);
+      endings_.End(aJob,
+                   gpUnconfirmed(gpMakeFailure(gpFailureCode::ClaimUnavailable,
+                                               gpOutcome::NotRun,
+                                               kAskAgain)),
+                   aNow,
+                   aOut);
       break;
   }
 }
@@ -462,77 +397,36 @@
 {
   switch (aResult.result_) {
     case gpRoundResult::Answered:
-      End(aJob, *aResult.answer_, aNow, aOut);
+      endings_.End(aJob, *aResult.answer_, aNow, aOut);
       break;
     case gpRoundResult::Held:
       if (aJob.claimantGone_) {
-        End(aJob,
-            MakeFailure(gpFailureCode::ClaimLost, gpOutcome::Failed),
-            aNow,
-            aOut);
+        endings_.End(aJob,
+                     gpMakeFailure(gpFailureCode::ClaimLost, gpOutcome::Failed),
+                     aNow,
+                     aOut);
       } else {
         Follow(aJob, *aResult.claimant_, aNow, aOut);
       }
       break;
     case gpRoundResult::Won:
-      if (IsLookup(aJob)) {
-        End(aJob, *aJob.refusal_, aNow, aOut);
+      if (gpIsLookup(aJob)) {
+        endings_.End(aJob, *aJob.refusal_, aNow, aOut);
       } else {
         ClaimAgain(aJob, aNow, aOut);
       }
       break;
     default:
-      End(aJob,
-          MakeFailure(
-            gpFailureCode::ClaimUnavailable, gpOutcome::Unknown, kAskAgain),
-          aNow,
-          aOut);
+      endings_.End(aJob,
+                   gpMakeFailure(gpFailureCode::ClaimUnavailable,
+                                 gpOutcome::Unknown,
+                                 kAskAgain),
+                   aNow,
+                   aOut);
       break;
   }
 }
 
-void
-gpEntryJobs::Fail(gpJob& aJob,
-                  gpFailureCode aCode,
-                  gpTime aNow,
-                  gpEffects& aOut)
-{
-  gpFailure failure;
-  failure.code_ = aCode;
-  failure.mayHaveRun_ = gpMayHaveRun(aJob);
-  const bool notRun = failure.mayHaveRun_.empty();
-  failure.outcome_ = notRun ? gpOutcome::NotRun : gpOutcome::Failed;
-  if (notRun) {
-    failure.retryAfter_ = kAskAgain;
-  }
-  dispatch_.Abandon(aJob, aOut);
-  End(aJob, std::move(failure), aNow, aOut);
-}
-
-void
-gpEntryJobs::Complete(gpJob& aJob, gpTime aNow, gpEffects& aOut)
-{
-  gpComplete complete;
-  complete.results_.reserve(aJob.tasks_.size());
-  for (gpTask& task : aJob.tasks_) {
-    complete.results_.push_back(std::move(task.result_));
-  }
-  End(aJob, std::move(complete), aNow, aOut);
-}
-
-void
-gpEntryJobs::Overdue(gpJob& aJob, gpTime aNow, gpEffects& aOut)
-{
-  if (aJob.phase_ == gpJobPhase::Running) {
-    Fail(aJob, gpFailureCode::DeadlineExceeded, aNow, aOut);
-    return;
-  }
-  const gpFailureCode code = IsLookup(aJob) ? gpFailureCode::ClaimUnreachable
-                                            : gpFailureCode::DeadlineExceeded;
-  const gpFailure failure = MakeFailure(code, gpOutcome::NotRun, kAskAgain);
-  End(aJob, Unconfirmed(failure), aNow, aOut);
-}
-
 void
 gpEntryJobs::ExpireQueries(gpTime aNow, gpEffects& aOut)
 {
@@ -542,65 +436,13 @@
     if (jobs_.FindByRequest(request) != nullptr) {
       jobs_.RemoveRequest(request);
       aOut.Add(gpAnswerCaller{ request,
-                               MakeFailure(gpFailureCode::ClaimUnreachable,
-                                           gpOutcome::Unknown,
-                                           kAskAgain) });
+                               gpMakeFailure(gpFailureCode::ClaimUnreachable,
+                                             gpOutcome::Unknown,
+                                             kAskAgain) });
     }
   }
 }
 
-void
-gpEntryJobs::End(gpJob& aJob, gpAnswer aAnswer, gpTime aNow, gpEffects& aOut)
-{
-  if (auto* failure = std::get_if<gpFailure>(&aAnswer)) {
-    const bool isLost = failure->code_ == gpFailureCode::ClaimLost;
-    if (isLost && failure->mayHaveRun_.empty()) {
-      failure->mayHaveRun_ = AllTasks(aJob);
-      // A lookup doesn't know the tasks, so it can't list them.
-      failure->outcome_ =
-        IsLookup(aJob) ? gpOutcome::Unknown : failure->outcome_;
-    }
-  }
-  const bool isClaimant =
-    aJob.phase_ == gpJobPhase::Running && aJob.submission_.key_.has_value();
-  if (aJob.admitted_) {
-    admission_.Release(aJob.submission_.team_, aJob.tasks_.size());
-  }
-  claims_.Abandon(aJob.id_, aNow, aOut);
-  follows_.Abandon(aJob.id_, aOut);
-  for (const gpRequestId request : jobs_.TakeRequests(aJob)) {
-    aOut.Add(gpAnswerCaller{ request, aAnswer });
-  }
-  gpTimelineEvent event = JobEvent(gpEventKind::JobAnswered, aJob);
-  event.detail_ = DescribeAnswer(aAnswer);
-  aOut.Write(std::move(event));
-  if (!isClaimant) {
-    AnswerAttachers(aJob, std::nullopt, aOut);
-    jobs_.Erase(aJob.id_);
-    return;
-  }
-  if (IsNotRun(aAnswer)) {
-    claims_.Withdraw(aJob, aNow, aOut);
-    AnswerAttachers(aJob, std::nullopt, aOut);
-    jobs_.Erase(aJob.id_);
-    return;
-  }
-  AnswerAttachers(aJob, aAnswer, aOut);
-  aJob.answer_ = std::move(aAnswer);
-  claims_.SendOutcome(aJob, aOut);
-  jobs_.End(aJob, aNow + RetentionOf(aJob.submission_.service_));
-}
-
-void
-gpEntryJobs::AnswerAttachers(gpJob& aJob,
-                             const std::optional<gpAnswer>& aAnswer,
-                             gpEffects& aOut)
-{
-  for (const gpAttacher& attacher : std::exchange(aJob.attachers_, {})) {
-    aOut.Send(attacher.link_, gpAttachReply{ attacher.claim_, aAnswer });
-  }
-}
-
 gpMillis
 gpEntryJobs::DefaultDeadline(const gpServiceName& aService) const
 {
@@ -608,11 +450,3 @@
   return service == nullptr ? gpLimits{}.defaultDeadline_
                             : service->limits_.defaultDeadline_;
 }
-
-gpMillis
-gpEntryJobs::RetentionOf(const gpServiceName& aService) const
-{
-  const gpServiceConfig* service = admission_.FindService(aService);
-  return service == nullptr ? gpClaimSettings{}.retention_
-                            : service->claims_.retention_;
-}
--- a/Source/Decision/gpEntryJobs.h
+++ b/Source/Decision/gpEntryJobs.h
@@ -13,6 +13,7 @@
 #include "gpEvent.h"
 #include "gpGuardDirectory.h"
 #include "gpIds.h"
+#include "gpJobEndings.h"
 #include "gpJobTable.h"
 #include "gpTime.h"
 
@@ -76,18 +77,8 @@
                    const gpClaimResult& aResult,
                    gpTime aNow,
                    gpEffects& aOut);
-  /// Ends a running job without a complete answer.
-  void Fail(gpJob& aJob, gpFailureCode aCode, gpTime aNow, gpEffects& aOut);
-  void Complete(gpJob& aJob, gpTime aNow, gpEffects& aOut);
-  void Overdue(gpJob& aJob, gpTime aNow, gpEffects& aOut);
   void ExpireQueries(gpTime aNow, gpEffects& aOut);
-  /// Gives everybody the answer.
-  void End(gpJob& aJob, gpAnswer aAnswer, gpTime aNow, gpEffects& aOut);
-  void AnswerAttachers(gpJob& aJob,
-                       const std::optional<gpAnswer>& aAnswer,
-                       gpEffects& aOut);
   gpMillis DefaultDeadline(const gpServiceName& aService) const;
-  gpMillis RetentionOf(const gpServiceName& aService) const;
 
   gpJobTable& jobs_;
   gpGuardDirectory& guards_;
@@ -95,6 +86,7 @@
   gpEntryFollows& follows_;
   gpEntryDispatch& dispatch_;
   gpAdmissionPolicy admission_;
+  gpJobEndings endings_;
   bool closed_ = false;
   /// Until when callers of gpJobQueried wait.
   std::set<std::pair<gpTime, gpRequestId>> queryEnds_;
--- a/Source/Decision/gpJob.h
+++ b/Source/Decision/gpJob.h
@@ -9,6 +9,7 @@
 #include "gpIds.h"
 #include "gpSubmission.h"
 #include "gpTime.h"
+#include "gpTimelineEvent.h"
 
 /// Where a task of a job is.
 enum class gpTaskPhase
@@ -87,6 +88,12 @@
 /// The key of a job that has one.
 std::optional<gpServiceKey>
 gpKeyOf(const gpJob& aJob);
+/// Whether the job only asks for the answer of a key.
+bool
+gpIsLookup(const gpJob& aJob);
+/// A line of the time line about the job.
+gpTimelineEvent
+gpJobEvent(gpEventKind aKind, const gpJob& aJob);
 /// The tasks of a job that may have run so far, ascending.
 std::vector<gpTaskIndex>
 gpMayHaveRun(const gpJob& aJob);
--- a/Source/Entry/gpEntryProcess.cxx
+++ b/Source/Entry/gpEntryProcess.cxx
@@ -5,6 +5,7 @@
 
 #include "gpJobJson.h"
 #include "gpLookupTarget.h"
+#include "gpReducerHandlers.h"
 
 namespace {
 
@@ -85,54 +86,14 @@
 gpProcess::Handlers
 gpEntryProcess::MakeHandlers()
 {
-  gpProcess::Handlers handlers;
-  handlers.links_.up_ = [this](gpLinkId aLink,
-                               const gpPeer& aPeer,
-                               std::optional<gpAddress> aDialed) {
-    process_.NoteLinkOpened(aLink, aPeer);
-    ReduceIfOpen(gpLinkOpened{ aLink, aPeer, std::move(aDialed) });
-  };
-  handlers.links_.down_ = [this](gpLinkId aLink, gpErrorCode aReason) {
-    process_.NoteLinkLost(aLink, aReason);
-    ReduceIfOpen(gpLinkLost{ aLink, aReason });
-  };
-  handlers.links_.message_ = [this](gpLinkId aLink, gpMessage aMessage) {
-    if (!process_.HandleNews(aLink, aMessage)) {
-      ReduceIfOpen(gpMessageReceived{ aLink, std::move(aMessage) });
-    }
-  };
-  handlers.links_.dialFailed_ = [this](const gpAddress& aAddress,
-                                       gpErrorCode aReason) {
-    ReduceIfOpen(gpDialFailed{ aAddress, aReason });
-  };
+  gpProcess::Handlers handlers = gpMakeReducerHandlers(
+    process_, [this](auto aInput) { ReduceIfOpen(std::move(aInput)); });
   handlers.http_.request_ = [this](gpRequestId aRequest, gpHttpRequest aHttp) {
     OnRequest(aRequest, std::move(aHttp));
   };
   handlers.http_.callerGone_ = [this](gpRequestId aRequest) {
     ReduceIfOpen(gpCallerGone{ aRequest });
   };
-  handlers.streams_ = MakeStreamHandlers();
-  return handlers;
-}
-
-gpPlatformStreams::Handlers
-gpEntryProcess::MakeStreamHandlers()
-{
-  gpPlatformStreams::Handlers handlers;
-  handlers.configuration_ =
-    [this](const gpVersionedConfiguration& aConfiguration) {
-      ReduceIfOpen(gpConfigurationChanged{ aConfiguration });
-    };
-  handlers.rejected_ = [this](const gpConfigurationEvent& aEvent) {
-    process_.NoteRejected(aEvent);
-  };
-  handlers.roster_ = [this](const gpRoster& aRoster, bool aContiguous) {
-    ReduceIfOpen(gpRosterChanged{ aRoster, aContiguous });
-  };
-  handlers.contact_ = [] {};
-  handlers.health_ = [this](const absl::Status& aStatus) {
-    process_.NoteLogHealth(aStatus);
-  };
   return handlers;
 }
 
--- a/Source/Entry/gpEntryProcess.h
+++ b/Source/Entry/gpEntryProcess.h
@@ -23,7 +23,6 @@
 
 private:
   gpProcess::Handlers MakeHandlers();
-  gpPlatformStreams::Handlers MakeStreamHandlers();
   void OnRequest(gpRequestId aRequest, gpHttpRequest aHttp);
   void OnSubmission(gpRequestId aRequest, gpHttpRequest aHttp);
   void OnLookup(gpRequestId aRequest, const gpHttpRequest& aHttp);
--- a/Source/Guard/gpGuardProcess.cxx
+++ b/Source/Guard/gpGuardProcess.cxx
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "gpAnnouncement.h"
+#include "gpReducerHandlers.h"
 
 namespace {
 
@@ -91,26 +92,9 @@
 gpProcess::Handlers
 gpGuardProcess::MakeHandlers()
 {
-  gpProcess::Handlers handlers;
-  handlers.links_.up_ = [this](gpLinkId aLink,
-                               const gpPeer& aPeer,
-                               std::optional<gpAddress> aDialed) {
-    process_.NoteLinkOpened(aLink, aPeer);
-    ReduceIfOpen(gpLinkOpened{ aLink, aPeer, std::move(aDialed) });
-  };
-  handlers.links_.down_ = [this](gpLinkId aLink, gpErrorCode aReason) {
-    process_.NoteLinkLost(aLink, aReason);
-    ReduceIfOpen(gpLinkLost{ aLink, aReason });
-  };
-  handlers.links_.message_ = [this](gpLinkId aLink, gpMessage aMessage) {
-    if (!process_.HandleNews(aLink, aMessage)) {
-      ReduceIfOpen(gpMessageReceived{ aLink, std::move(aMessage) });
-    }
-  };
-  handlers.links_.dialFailed_ = [this](const gpAddress& aAddress,
-                                       gpErrorCode aReason) {
-    ReduceIfOpen(gpDialFailed{ aAddress, aReason });
-  };
+  gpProcess::Handlers handlers = gpMakeReducerHandlers(
+    process_, [this](auto aInput) { ReduceIfOpen(std::move(aInput)); });
+  handlers.streams_.contact_ = [this] { ReduceIfOpen(gpLogContacted{}); };
   handlers.http_.request_ = [this](gpRequestId aRequest,
                                    const gpHttpRequest& aHttp) {
     OnRequest(aRequest, aHttp);
@@ -120,28 +104,6 @@
       leaveRequest_.reset();
     }
   };
-  handlers.streams_ = MakeStreamHandlers();
-  return handlers;
-}
-
-gpPlatformStreams::Handlers
-gpGuardProcess::MakeStreamHandlers()
-{
-  gpPlatformStreams::Handlers handlers;
-  handlers.configuration_ =
-    [this](const gpVersionedConfiguration& aConfiguration) {
-      ReduceIfOpen(gpConfigurationChanged{ aConfiguration });
-    };
-  handlers.rejected_ = [this](const gpConfigurationEvent& aEvent) {
-    process_.NoteRejected(aEvent);
-  };
-  handlers.roster_ = [this](const gpRoster& aRoster, bool aContiguous) {
-    ReduceIfOpen(gpRosterChanged{ aRoster, aContiguous });
-  };
-  handlers.contact_ = [this] { ReduceIfOpen(gpLogContacted{}); };
-  handlers.health_ = [this](const absl::Status& aStatus) {
-    process_.NoteLogHealth(aStatus);
-  };
   return handlers;
 }
 
--- a/Source/Guard/gpGuardProcess.h
+++ b/Source/Guard/gpGuardProcess.h
@@ -24,7 +24,6 @@
 
 private:
   gpProcess::Handlers MakeHandlers();
-  gpPlatformStreams::Handlers MakeStreamHandlers();
   void OnRequest(gpRequestId aRequest, const gpHttpRequest& aHttp);
   void OnAnnounce(gpRequestId aRequest, const gpHttpRequest& aHttp);
   void OnLeave(gpRequestId aRequest);
