Decision: Keep the teams that wait in the order of their charge

Cause: docs/CAPACITY.md had no figure for 740 teams. gp-measure now gives one: each start looked at every team that waits, twice. Ruled out: the team's own set of tasks, whose size was the same in all rows.

--- a/Source/Decision/gpDispatchQueue.cxx
+++ b/Source/Decision/gpDispatchQueue.cxx
@@ -20,6 +20,7 @@
   if (team.waiting_.empty()) {
     // A team that was idle gets no credit for the time it didn't use.
     team.charged_ = std::max(team.charged_, virtualTime_);
+    Enter(aTeam, team);
   }
   team.waiting_.emplace(aRank, aTask);
   places_.insert_or_assign(aTask, Where{ aTeam, aRank });
@@ -32,43 +33,48 @@
   if (found == places_.end()) {
     return;
   }
-  teams_.at(found->second.team_).waiting_.erase({ found->second.rank_, aTask });
+  const Where where = found->second;
   places_.erase(found);
+  Team& team = teams_.at(where.team_);
+  team.waiting_.erase({ where.rank_, aTask });
+  if (team.waiting_.empty()) {
+    Leave(where.team_, team);
+  }
 }
 
 std::optional<gpTaskId>
 gpDispatchQueue::Peek() const
 {
-  const auto team = FindNextTeam();
-  if (team == teams_.end()) {
+  if (order_.empty()) {
     return std::nullopt;
   }
-  return team->second.waiting_.begin()->second;
+  const Team& team = teams_.at(order_.begin()->second);
+  return team.waiting_.begin()->second;
 }
 
 void
 gpDispatchQueue::Pop()
 {
-  const auto next = FindNextTeam();
-  if (next == teams_.end()) {
+  if (order_.empty()) {
     return;
   }
-  Team& team = teams_.at(next->first);
+  const gpTeamName name = order_.begin()->second;
+  Team& team = teams_.at(name);
+  Leave(name, team);
   virtualTime_ = team.charged_;
   team.charged_ += kUnit / team.weight_;
+  Enter(name, team);
   Remove(gpTaskId(team.waiting_.begin()->second));
 }
 
-std::map<gpTeamName, gpDispatchQueue::Team>::const_iterator
-gpDispatchQueue::FindNextTeam() const
+void
+gpDispatchQueue::Enter(const gpTeamName& aName, const Team& aTeam)
 {
-  auto best = teams_.end();
-  for (auto team = teams_.begin(); team != teams_.end(); ++team) {
-    const bool waits = !team->second.waiting_.empty();
-    if (waits && (best == teams_.end() ||
-                  team->second.charged_ < best->second.charged_)) {
-      best = team;
-    }
-  }
-  return best;
+  order_.emplace(aTeam.charged_, aName);
+}
+
+void
+gpDispatchQueue::Leave(const gpTeamName& aName, const Team& aTeam)
+{
+  order_.erase({ aTeam.charged_, aName });
 }
--- a/Source/Decision/gpDispatchQueue.h
+++ b/Source/Decision/gpDispatchQueue.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include "gpIds.h"
 #include "gpTime.h"
@@ -46,9 +47,13 @@
     gpTime rank_;
   };
 
-  std::map<gpTeamName, Team>::const_iterator FindNextTeam() const;
+  /// Puts a team that waits into the order by its charge.
+  void Enter(const gpTeamName& aName, const Team& aTeam);
+  void Leave(const gpTeamName& aName, const Team& aTeam);
 
   std::map<gpTeamName, Team> teams_;
+  /// The teams that wait, by their charge; the first one is next.
+  std::set<std::pair<std::uint64_t, gpTeamName>> order_;
   std::map<gpTaskId, Where> places_;
   /// The charge of the team that was served last.
   std::uint64_t virtualTime_ = 0;
--- a/Tests/Measure/gpMeasure.cxx
+++ b/Tests/Measure/gpMeasure.cxx
@@ -10,6 +10,7 @@
 
 #include "gpClaimTable.h"
 #include "gpConfigurationFile.h"
+#include "gpDispatchQueue.h"
 #include "gpFrameCodec.h"
 #include "gpHolderRanking.h"
 #include "gpMeasureWorld.h"
@@ -92,6 +93,31 @@
   }
 }
 
+void
+MeasureTeams()
+{
+  PrintHead("Entry: one start from the queue, by teams that wait",
+            "teams | CPU us a start");
+  constexpr std::size_t kStarts = 20000;
+  for (const std::size_t teams : { 10U, 100U, 740U, 1480U }) {
+    gpDispatchQueue queue;
+    for (std::size_t number = 0; number < kStarts; ++number) {
+      const gpTeamName team("team-" + std::to_string(number % teams));
+      const gpTaskId task{ { gpIncarnation(1), number }, gpTaskIndex(0) };
+      queue.Push(team, 1 + number % 3, gpTime{}, task);
+    }
+    // Half of the tasks, so that all teams wait to the end.
+    const double micros = TimeOf([&] {
+      for (std::size_t number = 0; number < kStarts / 2; ++number) {
+        if (queue.Peek().has_value()) {
+          queue.Pop();
+        }
+      }
+    });
+    std::cout << "| " << teams << " | " << micros / (kStarts / 2) << " |\n";
+  }
+}
+
 gpClaimRequest
 MakeClaim(std::size_t aNumber)
 {
@@ -258,6 +284,7 @@
   std::cout << std::fixed << std::setprecision(2);
   MeasureEntryTasks();
   MeasureWaitingTasks();
+  MeasureTeams();
   MeasureClaims();
   MeasureLedger();
   MeasureRoster();
