--- a/Tests/Measure/gpMeasure.cxx
+++ b/Tests/Measure/gpMeasure.cxx
@@ -107,14 +107,15 @@
       queue.Push(team, 1 + number % 3, gpTime{}, task);
     }
     // Half of the tasks, so that all teams wait to the end.
+    constexpr std::size_t kMeasured = kStarts / 2;
     const double micros = TimeOf([&] {
-      for (std::size_t number = 0; number < kStarts / 2; ++number) {
+      for (std::size_t number = 0; number < kMeasured; ++number) {
         if (queue.Peek().has_value()) {
           queue.Pop();
         }
       }
     });
-    std::cout << "| " << teams << " | " << micros / (kStarts / 2) << " |\n";
+    std::cout << "| " << teams << " | " << micros / kMeasured << " |\n";
   }
 }
 
