Entry, Guard: Show histograms of response and run times

Entries now show the time from a submission to its answer by outcome, guards that of the target for a task. gpTestNews checks one of them.

--- a/Source/Entry/gpEntryProcess.cxx
+++ b/Source/Entry/gpEntryProcess.cxx
@@ -40,6 +40,14 @@
                          std::move(aAnswer.body_) };
 }
 
+std::string
+OutcomeOf(const gpAnswer& aAnswer)
+{
+  const auto* failure = std::get_if<gpFailure>(&aAnswer);
+  return failure == nullptr ? "complete"
+                            : std::string(gpOutcomeName(failure->outcome_));
+}
+
 absl::StatusOr<gpSubmission>
 ParseRequest(const gpHttpRequest& aHttp)
 {
@@ -92,6 +100,7 @@
     OnRequest(aRequest, std::move(aHttp));
   };
   handlers.http_.callerGone_ = [this](gpRequestId aRequest) {
+    receivedAt_.erase(aRequest);
     ReduceIfOpen(gpCallerGone{ aRequest });
   };
   return handlers;
@@ -122,6 +131,7 @@
 void
 gpEntryProcess::OnSubmission(gpRequestId aRequest, gpHttpRequest aHttp)
 {
+  receivedAt_.insert_or_assign(aRequest, gpEventLoop::Now());
   using Parsed = absl::StatusOr<gpSubmission>;
   const auto parsed = std::make_shared<Parsed>(absl::UnknownError(""));
   const auto finish = [this, aRequest, parsed] {
@@ -129,6 +139,7 @@
       Reduce(gpJobSubmitted{ aRequest, std::move(**parsed) });
       return;
     }
+    receivedAt_.erase(aRequest);
     process_.NoteBadInput(gpErrorCodeOf(parsed->status()));
     process_.http_.Respond(
       aRequest,
@@ -196,6 +207,15 @@
 void
 gpEntryProcess::Carry(gpAnswerCaller& aEffect)
 {
+  const auto received = receivedAt_.find(aEffect.request_);
+  if (received != receivedAt_.end()) {
+    process_.metrics_
+      .Histogram("gypsumpoint_response_seconds",
+                 "Time from a submission to its answer",
+                 { { "outcome", OutcomeOf(aEffect.answer_) } })
+      .Observe(gpEventLoop::Now() - received->second);
+    receivedAt_.erase(received);
+  }
   process_.http_.Respond(aEffect.request_,
                          ToHttp(gpRenderAnswer(aEffect.answer_)));
 }
--- a/Source/Entry/gpEntryProcess.h
+++ b/Source/Entry/gpEntryProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -51,5 +52,7 @@
   gpProcess process_;
   /// Parses submissions and renders answers beside the event loop.
   gpWorkPool work_;
+  /// When each submission that has no answer yet came.
+  std::map<gpRequestId, gpTime> receivedAt_;
   std::unique_ptr<gpEntryReducer> reducer_;
 };
--- a/Source/Guard/gpGuardProcess.cxx
+++ b/Source/Guard/gpGuardProcess.cxx
@@ -163,6 +163,10 @@
   replied.sent_ = aReply.sent_;
   replied.runTime_ = aReply.duration_;
   if (aReply.response_.ok()) {
+    process_.metrics_
+      .Histogram("gypsumpoint_task_run_seconds",
+                 "Time of the target for a task")
+      .Observe(aReply.duration_);
     replied.response_ =
       gpTaskResult{ aReply.response_->status_, aReply.response_->body_ };
   }
--- a/Tests/Integration/News/testNews.cxx
+++ b/Tests/Integration/News/testNews.cxx
@@ -41,4 +41,12 @@
   }
   BOOST_TEST(answer.outcome_ == "complete");
   BOOST_TEST(cluster.StartsOf(job.key_, 0) == 1U);
+
+  const std::string metrics =
+    cluster.Http()
+      .Get(cluster.Entry(0).Address("http"), "/metrics")
+      .response_.value()
+      .body_;
+  BOOST_TEST(metrics.find("gypsumpoint_response_seconds_count{outcome="
+                          "\"complete\"} 1") != std::string::npos);
 }
