Decision: Make the events that entries and guards share in one place

The lines about a claim stood letter for letter in gpEntryClaims and gpGuardClaims, those about an attempt in gpGuardStarts and, with a peer more, in gpEntryDispatch; gpDecisionEvents now makes both. Gone as well: times that Enqueue, PushTask, Requeue and OnResolved took and never read, and gpEntryClaims::SetAddress, which nobody called.

--- a/Source/Decision/gpEntryClaims.cxx
+++ b/Source/Decision/gpEntryClaims.cxx
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gpDecisionEvents.h"
+
 namespace {
 
 /// How long a withdrawn claim is remembered; more than any retention.
@@ -10,16 +12,6 @@
 /// Pause between two looks at rounds that are open.
 constexpr gpMillis kRoundPeriod{ 20 };
 
-gpTimelineEvent
-ClaimEvent(gpEventKind aKind, const gpServiceKey& aKey, const gpJobId& aJob)
-{
-  gpTimelineEvent event;
-  event.kind_ = aKind;
-  event.key_ = aKey;
-  event.job_ = aJob;
-  return event;
-}
-
 } // namespace
 
 gpEntryClaims::gpEntryClaims(gpAddress aAddress,
@@ -43,7 +35,7 @@
   };
   active_.insert_or_assign(aJob.id_, std::move(active));
   if (aKind == gpClaimRound::Kind::Claim) {
-    aOut.Write(ClaimEvent(gpEventKind::ClaimAsked, key, aJob.id_));
+    aOut.Write(gpClaimEvent(gpEventKind::ClaimAsked, key, aJob.id_));
   }
   Advance(aJob.id_, aNow, aOut);
 }
@@ -245,7 +237,7 @@
     return;
   }
   if (aResult == gpRoundResult::Won) {
-    aOut.Write(ClaimEvent(gpEventKind::ClaimWon, key, aJob));
+    aOut.Write(gpClaimEvent(gpEventKind::ClaimWon, key, aJob));
   } else {
     SendWithdraw(key, aJob, holders, aNow, aOut);
   }
@@ -259,7 +251,7 @@
                             gpEffects& aOut)
 {
   withdrawn_.insert_or_assign(aJob, aNow + kWithdrawnKept);
-  aOut.Write(ClaimEvent(gpEventKind::ClaimWithdrawn, aKey, aJob));
+  aOut.Write(gpClaimEvent(gpEventKind::ClaimWithdrawn, aKey, aJob));
   for (const gpIncarnation guard : aHolders) {
     const auto link = links_.FindLink(guard);
     if (link.has_value()) {
--- a/Source/Decision/gpEntryClaims.h
+++ b/Source/Decision/gpEntryClaims.h
@@ -41,7 +41,6 @@
                 gpTimings aTimings,
                 const gpLinkBook& aLinks);
 
-  void SetAddress(const gpAddress& aAddress) { address_ = aAddress; }
   /// Asks the holders for the key of the job. The result comes from
   /// TakeResults, perhaps at once.
   void Begin(const gpJob& aJob,
--- a/Source/Decision/gpEntryDispatch.cxx
+++ b/Source/Decision/gpEntryDispatch.cxx
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gpDecisionEvents.h"
 #include "gpJobTable.h"
 
 namespace {
@@ -16,11 +17,7 @@
           const gpAttemptId& aAttempt,
           const gpGuardView& aGuard)
 {
-  gpTimelineEvent event;
-  event.kind_ = aKind;
-  event.job_ = aAttempt.task_.job_;
-  event.task_ = aAttempt.task_.task_;
-  event.attempt_ = aAttempt.attempt_;
+  gpTimelineEvent event = gpTaskEvent(aKind, aAttempt);
   event.peer_ = aGuard.member_.guard_;
   return event;
 }
@@ -64,10 +61,10 @@
 }
 
 void
-gpEntryDispatch::Enqueue(gpJob& aJob, gpTime aNow)
+gpEntryDispatch::Enqueue(const gpJob& aJob)
 {
   for (std::uint32_t index = 0; index < aJob.tasks_.size(); ++index) {
-    PushTask(aJob, gpTaskIndex(index), aNow);
+    PushTask(aJob, gpTaskIndex(index));
   }
 }
 
@@ -186,7 +183,7 @@
   if (aRefused.reason_ == gpRefusal::Connection) {
     NoteFailure(aGuard, aNow, aOut);
   }
-  Requeue(attempt, aRefused.reason_, aNow);
+  Requeue(attempt, aRefused.reason_);
 }
 
 void
@@ -220,7 +217,6 @@
 void
 gpEntryDispatch::OnResolved(gpGuardView& aGuard,
                             const gpResolveReply& aReply,
-                            gpTime aNow,
                             gpEffects& aOut)
 {
   static constexpr std::array kNames = {
@@ -238,7 +234,7 @@
     const bool notRun = resolution.state_ == gpAttemptState::NeverSeen ||
                         resolution.state_ == gpAttemptState::Refused;
     if (notRun && aGuard.inFlight_.erase(attempt) > 0) {
-      Requeue(attempt, gpRefusal::Tombstone, aNow);
+      Requeue(attempt, gpRefusal::Tombstone);
     } else if (!notRun && task != nullptr) {
       task->phase_ = gpTaskPhase::Sent;
     }
@@ -305,7 +301,7 @@
 }
 
 void
-gpEntryDispatch::PushTask(const gpJob& aJob, gpTaskIndex aTask, gpTime)
+gpEntryDispatch::PushTask(const gpJob& aJob, gpTaskIndex aTask)
 {
   const auto service = services_.find(aJob.submission_.service_);
   const auto weight = teamWeights_.find(aJob.submission_.team_);
@@ -394,9 +390,7 @@
 }
 
 void
-gpEntryDispatch::Requeue(const gpAttemptId& aAttempt,
-                         gpRefusal aReason,
-                         gpTime aNow)
+gpEntryDispatch::Requeue(const gpAttemptId& aAttempt, gpRefusal aReason)
 {
   gpTask* task = FindAttempt(aAttempt);
   if (task == nullptr) {
@@ -419,7 +413,7 @@
     news_.push_back({ job.id_, gpFailureCode::NoTarget });
     return;
   }
-  PushTask(job, aAttempt.task_.task_, aNow);
+  PushTask(job, aAttempt.task_.task_);
 }
 
 void
--- a/Source/Decision/gpEntryDispatch.h
+++ b/Source/Decision/gpEntryDispatch.h
@@ -49,7 +49,7 @@
   void SetConfiguration(const gpConfiguration& aConfiguration);
 
   /// The tasks of the job may start from now on.
-  void Enqueue(gpJob& aJob, gpTime aNow);
+  void Enqueue(const gpJob& aJob);
   /// Drops the tasks of the job that wait, and cancels those that were sent.
   void Abandon(gpJob& aJob, gpEffects& aOut);
   /// Sends as many waiting tasks as there is room for.
@@ -76,7 +76,6 @@
                 gpEffects& aOut);
   void OnResolved(gpGuardView& aGuard,
                   const gpResolveReply& aReply,
-                  gpTime aNow,
                   gpEffects& aOut);
   /// Gives up attempts that have been in doubt for too long.
   void OnTime(gpTime aNow, gpEffects& aOut);
@@ -97,14 +96,14 @@
 
   /// The task if the attempt is its newest and hasn't ended; else null.
   gpTask* FindAttempt(const gpAttemptId& aAttempt);
-  void PushTask(const gpJob& aJob, gpTaskIndex aTask, gpTime aNow);
+  void PushTask(const gpJob& aJob, gpTaskIndex aTask);
   void DispatchService(Service& aService, gpTime aNow, gpEffects& aOut);
   void SendTask(gpGuardView& aGuard,
                 const gpTaskId& aTask,
                 Service& aService,
                 gpTime aNow,
                 gpEffects& aOut);
-  void Requeue(const gpAttemptId& aAttempt, gpRefusal aReason, gpTime aNow);
+  void Requeue(const gpAttemptId& aAttempt, gpRefusal aReason);
   void NoteFailure(gpGuardView& aGuard, gpTime aNow, gpEffects& aOut);
   void EndTask(gpTask& aTask, const gpStartResult& aResult);
 
--- a/Source/Decision/gpEntryJobs.cxx
+++ b/Source/Decision/gpEntryJobs.cxx
@@ -321,7 +321,7 @@
     endings_.End(aJob, *aJob.refusal_, aNow, aOut);
     return;
   }
-  dispatch_.Enqueue(aJob, aNow);
+  dispatch_.Enqueue(aJob);
 }
 
 void
--- a/Source/Decision/gpEntryReducer.cxx
+++ b/Source/Decision/gpEntryReducer.cxx
@@ -215,7 +215,7 @@
 {
   gpGuardView* guard = FindGuard(aLink);
   if (guard != nullptr) {
-    dispatch_.OnResolved(*guard, aMessage, now_, out_);
+    dispatch_.OnResolved(*guard, aMessage, out_);
   }
 }
 
--- a/Source/Decision/gpGuardClaims.cxx
+++ b/Source/Decision/gpGuardClaims.cxx
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gpConfiguration.h"
+#include "gpDecisionEvents.h"
 
 namespace {
 
@@ -12,16 +13,6 @@
 /// Claims that travel in one message of a copy.
 constexpr std::size_t kCopyChunk = 500;
 
-gpTimelineEvent
-ClaimEvent(gpEventKind aKind, const gpServiceKey& aKey, const gpJobId& aJob)
-{
-  gpTimelineEvent event;
-  event.kind_ = aKind;
-  event.key_ = aKey;
-  event.job_ = aJob;
-  return event;
-}
-
 const char*
 VerdictName(gpClaimVerdict aVerdict)
 {
@@ -100,9 +91,9 @@
   reply.epoch_ = partitions_.GetEpoch();
   const bool granted = reply.verdict_ == gpClaimVerdict::Granted;
   gpTimelineEvent event =
-    ClaimEvent(granted ? gpEventKind::ClaimGranted : gpEventKind::ClaimDenied,
-               aRequest.key_,
-               aRequest.claimant_.job_);
+    gpClaimEvent(granted ? gpEventKind::ClaimGranted : gpEventKind::ClaimDenied,
+                 aRequest.key_,
+                 aRequest.claimant_.job_);
   event.detail_ = VerdictName(reply.verdict_);
   aOut.Write(std::move(event));
   aOut.Send(aLink, std::move(reply));
@@ -129,7 +120,7 @@
 {
   table_.Withdraw(aWithdraw);
   aOut.Write(
-    ClaimEvent(gpEventKind::ClaimReleased, aWithdraw.key_, aWithdraw.job_));
+    gpClaimEvent(gpEventKind::ClaimReleased, aWithdraw.key_, aWithdraw.job_));
 }
 
 void
--- a/Source/Decision/gpGuardStarts.cxx
+++ b/Source/Decision/gpGuardStarts.cxx
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "gpConfiguration.h"
+#include "gpDecisionEvents.h"
 
 namespace {
 
@@ -12,17 +13,6 @@
 /// free slot at the same time; all others wait at the entries.
 constexpr std::size_t kMaxPending = 8;
 
-gpTimelineEvent
-TaskEvent(gpEventKind aKind, const gpAttemptId& aAttempt)
-{
-  gpTimelineEvent event;
-  event.kind_ = aKind;
-  event.job_ = aAttempt.task_.job_;
-  event.task_ = aAttempt.task_.task_;
-  event.attempt_ = aAttempt.attempt_;
-  return event;
-}
-
 const char*
 RefusalName(gpRefusal aReason)
 {
@@ -140,7 +130,7 @@
       results.push_back(*result);
     }
     if (state == gpAttemptState::NeverSeen) {
-      aOut.Write(TaskEvent(gpEventKind::TaskTombstoned, attempt));
+      aOut.Write(gpTaskEvent(gpEventKind::TaskTombstoned, attempt));
     }
   }
   aOut.Send(aLink, std::move(reply));
@@ -163,7 +153,7 @@
     } else if (RemovePending(attempt)) {
       RefuseIfLinked(attempt, gpRefusal::Cancelled, aNow, aOut);
     } else if (state == gpAttemptState::Running && running_.contains(attempt)) {
-      aOut.Write(TaskEvent(gpEventKind::TaskCancelled, attempt));
+      aOut.Write(gpTaskEvent(gpEventKind::TaskCancelled, attempt));
       aOut.Add(gpAbortCall{ attempt });
       gpTargetReplied broken;
       broken.attempt_ = attempt;
@@ -223,7 +213,7 @@
 {
   const gpAttemptId attempt{ aStart.task_, aStart.attempt_ };
   running_.insert(attempt);
-  aOut.Write(TaskEvent(gpEventKind::TaskAdmitted, attempt));
+  aOut.Write(gpTaskEvent(gpEventKind::TaskAdmitted, attempt));
   aOut.Add(gpCallTarget{ attempt, target_, std::move(aStart) });
 }
 
@@ -313,7 +303,7 @@
       refusedEntries_.push_back(entry);
     }
   }
-  gpTimelineEvent event = TaskEvent(gpEventKind::TaskRefused, aAttempt);
+  gpTimelineEvent event = gpTaskEvent(gpEventKind::TaskRefused, aAttempt);
   event.detail_ = RefusalName(aReason);
   aOut.Write(std::move(event));
   aOut.Send(aLink,
@@ -325,7 +315,7 @@
 gpGuardStarts::Report(const gpStartResult& aResult, gpEffects& aOut)
 {
   gpTimelineEvent event =
-    TaskEvent(gpEventKind::TaskEnded, { aResult.task_, aResult.attempt_ });
+    gpTaskEvent(gpEventKind::TaskEnded, { aResult.task_, aResult.attempt_ });
   event.number_ = static_cast<std::uint64_t>(aResult.result_.status_);
   aOut.Write(std::move(event));
   const auto link = links_.FindLink(aResult.task_.job_.entry_);
