--- /dev/null
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -0,0 +1,298 @@
+#include "gpLeaseEntryProcess.h"
+
+#include <chrono>
+#include <utility>
+
+namespace {
+
+/// Part of the grace time, in percent, after which the process ends by itself.
+constexpr int kShutdownPercent = 85;
+constexpr int kPercent = 100;
+constexpr gpMillis kRegisterAgain{ 500 };
+
+/// Milliseconds since 1970. Run numbers begin there, so that they are higher
+/// than those of a former incarnation.
+std::uint64_t
+WallClockMs()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<gpMillis>(now).count());
+}
+
+} // namespace
+
+gpLeaseEntryProcess::gpLeaseEntryProcess(const gpLeaseSettings& aSettings,
+                                         std::unique_ptr<gpJobPort> aJobs,
+                                         const MakeStore& aMakeStore)
+  : gpLeaseNode(
+      aSettings,
+      gpRole::Entry,
+      gpMakeLeaseLinkHandlers(*this,
+                              [this](auto aInput) {
+                                using Input = decltype(aInput);
+                                if constexpr (std::is_same_v<Input,
+                                                             gpLinkOpened>) {
+                                  OnLinkOpened(aInput);
+                                } else if constexpr (std::is_same_v<
+                                                       Input,
+                                                       gpLinkLost>) {
+                                  OnLinkLost(aInput);
+                                } else if constexpr (std::is_same_v<
+                                                       Input,
+                                                       gpMessageReceived>) {
+                                  OnMessage(aInput);
+                                } else {
+                                  Reduce(std::move(aInput));
+                                }
+                              }),
+      { [this] { return reducer_->GetStatus().ready_; },
+        [this] { return StatusFields(); } })
+  , settings_(aSettings)
+  , jobs_(std::move(aJobs))
+  , store_(aMakeStore(httpClient_))
+  , callers_(loop_,
+             gpHttpLimits{},
+             { [this](gpRequestId aRequest, const gpHttpRequest& aHttp) {
+                OnRequest(aRequest, aHttp);
+              },
+               [this](gpRequestId aRequest) {
+                 receivedAt_.erase(aRequest);
+                 Reduce(gpCallerGone{ aRequest });
+               } })
+  , configuration_(
+      timers_,
+      *store_,
+      gpStoreTopic::Configuration,
+      { [this](const gpStoreRecord& aRecord) { OnStoreRecord(aRecord); },
+        [this](const absl::Status& aStatus) { NoteStoreHealth(aStatus); } })
+  , entries_(
+      timers_,
+      *store_,
+      gpStoreTopic::Entries,
+      { [this](const gpStoreRecord& aRecord) { OnEntryRecord(aRecord); },
+        [](const absl::Status&) {} })
+{
+}
+
+absl::Status
+gpLeaseEntryProcess::Open()
+{
+  absl::Status status = OpenNode();
+  if (!status.ok()) {
+    return status;
+  }
+  gpLeaseEntryOptions options;
+  options.address_ = GetSelf().address_;
+  options.dataCentre_ = settings_.site_.dataCentre_;
+  options.firstRun_ = WallClockMs();
+  options.shutdown_ = settings_.grace_ * kShutdownPercent / kPercent;
+  reducer_ = std::make_unique<gpLeaseEntryReducer>(std::move(options));
+  loop_.OnTerminate([this] { Reduce(gpShutdownRequested{}); });
+  const auto callers = callers_.Listen(settings_.callersListen_);
+  if (!callers.ok()) {
+    return callers.status();
+  }
+  NoteListening("callers", *callers);
+  Reduce(gpEntriesFound{ settings_.entries_ });
+  configuration_.Start();
+  entries_.Start();
+  Register();
+  return status;
+}
+
+void
+gpLeaseEntryProcess::CloseServers(std::function<void()> aClosed)
+{
+  callers_.Drain(std::move(aClosed));
+}
+
+void
+gpLeaseEntryProcess::OnRequest(gpRequestId aRequest, const gpHttpRequest& aHttp)
+{
+  absl::StatusOr<gpJobCall> call = jobs_->Parse(aHttp);
+  if (!call.ok()) {
+    NoteBadInput(gpErrorCodeOf(call.status()));
+    callers_.Respond(aRequest, jobs_->RenderError(call.status()));
+    return;
+  }
+  std::visit([&](auto& aCall) { OnCall(aRequest, std::move(aCall)); }, *call);
+}
+
+void
+gpLeaseEntryProcess::OnCall(gpRequestId aRequest, gpLeaseJob aJob)
+{
+  receivedAt_.insert_or_assign(aRequest, gpEventLoop::Now());
+  Reduce(gpLeaseJobSubmitted{ aRequest, std::move(aJob) });
+}
+
+bool
+gpLeaseEntryProcess::RefuseUnknown(gpRequestId aRequest,
+                                   const std::string& aHost,
+                                   const std::string& aPath)
+{
+  const gpQueueTable& queues = reducer_->GetQueues();
+  if (queues.Find(aHost, aPath) != nullptr) {
+    return false;
+  }
+  gpLeaseAnswer answer;
+  if (queues.version_ == gpConfigVersion()) {
+    answer.reason_ = gpLeaseReason::NoConfiguration;
+  } else {
+    answer.outcome_ = gpLeaseOutcome::NoQueue;
+  }
+  callers_.Respond(aRequest, jobs_->Render(answer));
+  return true;
+}
+
+void
+gpLeaseEntryProcess::OnCall(gpRequestId aRequest, const gpJobStateCall& aCall)
+{
+  if (!RefuseUnknown(aRequest, aCall.host_, aCall.path_)) {
+    callers_.Respond(aRequest,
+                     jobs_->RenderState(reducer_->HasJob(aCall.id_)));
+  }
+}
+
+void
+gpLeaseEntryProcess::OnCall(gpRequestId aRequest, const gpJobCancelCall& aCall)
+{
+  const bool isKnown = reducer_->HasJob(aCall.id_);
+  Reduce(gpLeaseJobCancelled{ aCall.id_ });
+  callers_.Respond(aRequest, jobs_->RenderCancelled(isKnown));
+}
+
+void
+gpLeaseEntryProcess::OnCall(gpRequestId aRequest, const gpPendingCall& aCall)
+{
+  if (RefuseUnknown(aRequest, aCall.host_, aCall.path_)) {
+    return;
+  }
+  const gpQueue* queue = reducer_->GetQueues().Find(aCall.host_, aCall.path_);
+  callers_.Respond(
+    aRequest, jobs_->RenderPending(reducer_->CountPending(queue->name_)));
+}
+
+void
+gpLeaseEntryProcess::OnLinkOpened(const gpLinkOpened& aEvent)
+{
+  peers_.insert_or_assign(aEvent.link_, aEvent.peer_);
+  // Whatever a peer has that is newer; most often it has nothing.
+  AskForNews(aEvent.link_);
+  Reduce(aEvent);
+}
+
+void
+gpLeaseEntryProcess::OnLinkLost(const gpLinkLost& aEvent)
+{
+  peers_.erase(aEvent.link_);
+  Reduce(aEvent);
+}
+
+void
+gpLeaseEntryProcess::OnMessage(const gpMessageReceived& aEvent)
+{
+  if (const auto* news = std::get_if<gpConfigurationNews>(&aEvent.message_)) {
+    TakeConfiguration(news->text_);
+    return;
+  }
+  Reduce(aEvent);
+}
+
+void
+gpLeaseEntryProcess::OnStoreRecord(const gpStoreRecord& aRecord)
+{
+  if (store_->HoldsQueues(aRecord)) {
+    TakeConfiguration(aRecord.value_);
+  }
+}
+
+void
+gpLeaseEntryProcess::TakeConfiguration(const std::string& aText)
+{
+  absl::StatusOr<gpQueueTable> queues = store_->ParseQueues(aText);
+  if (!queues.ok()) {
+    gpTimelineEvent event;
+    event.kind_ = gpEventKind::ConfigurationRejected;
+    event.detail_ = gpErrorText(queues.status());
+    Write(event);
+    return;
+  }
+  gpConfigurationNews news;
+  news.version_ = queues->version_;
+  news.text_ = aText;
+  if (!KeepNews(news)) {
+    return;
+  }
+  Reduce(gpQueuesChanged{ std::move(*queues) });
+  // Peers may not reach the store, or hear of it later.
+  for (const auto& [link, peer] : peers_) {
+    Send(link, news);
+  }
+}
+
+void
+gpLeaseEntryProcess::OnEntryRecord(const gpStoreRecord& aRecord)
+{
+  if (!aRecord.value_.empty()) {
+    Reduce(gpMessageReceived{
+      gpLinkId(), gpEntryAddresses{ { gpAddress(aRecord.value_) } } });
+  }
+}
+
+void
+gpLeaseEntryProcess::Register()
+{
+  store_->Write(gpStoreTopic::Entries,
+                { settings_.name_, GetSelf().address_.value_ },
+                [this](const absl::Status& aStatus) {
+                  if (!aStatus.ok()) {
+                    timers_.Subscribe(gpEventLoop::Now() + kRegisterAgain,
+                                      [this] { Register(); });
+                  }
+                });
+}
+
+std::string
+gpLeaseEntryProcess::StatusFields() const
+{
+  const gpLeaseEntryStatus status = reducer_->GetStatus();
+  return R"(,"jobs":)" + std::to_string(status.jobs_) + R"(,"waiting":)" +
+         std::to_string(status.waiting_) + R"(,"guards":)" +
+         std::to_string(status.guards_) + R"(,"entries":)" +
+         std::to_string(status.entries_);
+}
+
+template<typename Input>
+void
+gpLeaseEntryProcess::Reduce(Input aInput)
+{
+  gpLeaseEntryEvent event;
+  event.now_ = gpEventLoop::Now();
+  event.input_ = std::move(aInput);
+  for (gpLeaseEffect& effect : reducer_->Reduce(event)) {
+    Carry(effect);
+  }
+}
+
+void
+gpLeaseEntryProcess::Carry(gpLeaseEffect& aEffect)
+{
+  if (gpLeaseNode::Carry(aEffect, [this] { Reduce(gpTimePassed{}); })) {
+    return;
+  }
+  const auto* answer = std::get_if<gpAnswerLeaseJob>(&aEffect);
+  if (answer == nullptr) {
+    return; // an effect that only guards have
+  }
+  const auto received = receivedAt_.find(answer->request_);
+  if (received != receivedAt_.end()) {
+    metrics_
+      .Histogram("gypsumpoint_response_seconds",
+                 "Time from a submission to its answer",
+                 { { "outcome", gpLeaseOutcomeName(answer->answer_.outcome_) } })
+      .Observe(gpEventLoop::Now() - received->second);
+    receivedAt_.erase(received);
+  }
+  callers_.Respond(answer->request_, jobs_->Render(answer->answer_));
+}
--- a/Source/Entry/main.cxx
+++ b/Source/Entry/main.cxx
@@ -2,8 +2,40 @@
 
 #include "gpDaemonOptions.h"
 #include "gpEntryProcess.h"
+#include "gpLeaseEntryProcess.h"
+#include "gpLeaseSettingsFile.h"
+#include "gpPlatformJobs.h"
+#include "gpPlatformStore.h"
 #include "gpSettingsFile.h"
 
+namespace {
+
+/// Runs an entry for best-effort jobs on the users' platform.
+int
+RunOnPlatform(const std::string& aFile, const std::string& aText)
+{
+  const auto settings = gpParseLeaseSettings(aFile, aText, gpRole::Entry);
+  if (!settings.ok()) {
+    std::cerr << gpErrorText(settings.status()) << "\n";
+    return kExitUsage;
+  }
+  gpLeaseEntryProcess process(
+    *settings,
+    std::make_unique<gpPlatformJobs>(),
+    [&settings](gpHttpClient& aClient) {
+      return std::make_unique<gpPlatformStore>(aClient, settings->store_);
+    });
+  const absl::Status status = process.Open();
+  if (!status.ok()) {
+    std::cerr << "gypsumpoint-entry: " << gpErrorText(status) << "\n";
+    return kExitFailure;
+  }
+  process.Run();
+  return kExitOk;
+}
+
+} // namespace
+
 int
 main(int aCount, char** aArguments)
 {
@@ -20,6 +52,9 @@
   if (!gpReadFile(options.configFile_, text)) {
     return kExitUsage;
   }
+  if (gpIsLeaseSettings(text)) {
+    return RunOnPlatform(options.configFile_, text);
+  }
   const auto settings = gpParseEntrySettings(options.configFile_, text);
   if (!settings.ok()) {
     std::cerr << gpErrorText(settings.status()) << "\n";
--- a/Source/Guard/main.cxx
+++ b/Source/Guard/main.cxx
@@ -2,8 +2,40 @@
 
 #include "gpDaemonOptions.h"
 #include "gpGuardProcess.h"
+#include "gpLeaseGuardProcess.h"
+#include "gpLeaseSettingsFile.h"
+#include "gpPlatformHeartbeat.h"
+#include "gpPlatformTarget.h"
 #include "gpSettingsFile.h"
 
+namespace {
+
+/// Runs a guard for best-effort jobs on the users' platform.
+int
+RunOnPlatform(const std::string& aFile, const std::string& aText)
+{
+  const auto settings = gpParseLeaseSettings(aFile, aText, gpRole::Guard);
+  if (!settings.ok()) {
+    std::cerr << gpErrorText(settings.status()) << "\n";
+    return kExitUsage;
+  }
+  gpLeaseGuardProcess process(
+    *settings,
+    std::make_unique<gpPlatformHeartbeat>(),
+    [&settings](gpHttpClient& aClient) {
+      return std::make_unique<gpPlatformTarget>(aClient, settings->target_);
+    });
+  const absl::Status status = process.Open();
+  if (!status.ok()) {
+    std::cerr << "gypsumpoint-guard: " << gpErrorText(status) << "\n";
+    return kExitFailure;
+  }
+  process.Run();
+  return kExitOk;
+}
+
+} // namespace
+
 int
 main(int aCount, char** aArguments)
 {
@@ -20,6 +52,9 @@
   if (!gpReadFile(options.configFile_, text)) {
     return kExitUsage;
   }
+  if (gpIsLeaseSettings(text)) {
+    return RunOnPlatform(options.configFile_, text);
+  }
   const auto settings = gpParseGuardSettings(options.configFile_, text);
   if (!settings.ok()) {
     std::cerr << gpErrorText(settings.status()) << "\n";
--- /dev/null
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "gpEntryFinder.h"
+#include "gpLeaseEvent.h"
+#include "gpLeaseJobTable.h"
+#include "gpTargetBoard.h"
+
+/** \class gpLeaseEntryOptions
+ * \brief What an entry for best-effort jobs is told at its start.
+ */
+struct gpLeaseEntryOptions
+{
+  /// Where other processes of the system connect.
+  gpAddress address_;
+  gpDataCentreName dataCentre_;
+  /// Run numbers begin above this; higher than those of any former incarnation.
+  std::uint64_t firstRun_ = 1;
+  /// Longest time between the request to end and the end.
+  gpMillis shutdown_{ 0 };
+};
+
+/** \class gpLeaseEntryStatus
+ * \brief What an entry shows of itself.
+ */
+struct gpLeaseEntryStatus
+{
+  gpConfigVersion version_;
+  std::size_t jobs_ = 0;
+  std::size_t waiting_ = 0;
+  std::size_t guards_ = 0;
+  std::size_t entries_ = 0;
+  bool ready_ = false;
+};
+
+/** \class gpLeaseEntryReducer
+ * \brief All decisions of an entry for best-effort jobs: takes a job in or
+ * refuses it, places its tasks at targets and answers the caller.
+ */
+class gpLeaseEntryReducer
+{
+public:
+  explicit gpLeaseEntryReducer(gpLeaseEntryOptions aOptions);
+
+  std::vector<gpLeaseEffect> Reduce(const gpLeaseEntryEvent& aEvent);
+  gpLeaseEntryStatus GetStatus() const;
+  const gpQueueTable& GetQueues() const { return queues_; }
+  /// Jobs of the queue of which no task has been started.
+  std::size_t CountPending(const gpQueueName& aQueue) const;
+  bool HasJob(const std::string& aJob) const;
+
+private:
+  void On(const gpLeaseJobSubmitted& aEvent);
+  void On(const gpLeaseJobCancelled& aEvent);
+  void On(const gpCallerGone& aEvent);
+  void On(const gpQueuesChanged& aEvent);
+  void On(const gpEntriesFound& aEvent);
+  void On(const gpLinkOpened& aEvent);
+  void On(const gpLinkLost& aEvent);
+  void On(const gpDialFailed& aEvent);
+  void On(const gpMessageReceived& aEvent);
+  void On(const gpTimePassed& aEvent);
+  void On(const gpShutdownRequested& aEvent);
+
+  void OnMessage(gpLinkId aLink, const gpRunReport& aMessage);
+  void OnMessage(gpLinkId aLink, const gpRunsHeld& aMessage);
+  void OnMessage(gpLinkId aLink, const gpTargetNews& aMessage);
+  void OnMessage(gpLinkId aLink, const gpRoomReport& aMessage);
+  void OnMessage(gpLinkId aLink, const gpEntryAddresses& aMessage);
+  /// A message that these entries don't take.
+  template<typename Message>
+  void OnMessage(gpLinkId, const Message&)
+  {
+  }
+
+  /// Why the job is not taken in; not set if it is.
+  std::optional<gpLeaseAnswer> FindRefusal(const gpLeaseJob& aJob,
+                                           const gpQueue* aQueue) const;
+  /// How long a job of the queue would wait for room, going by the work ahead.
+  gpMillis PredictWait(const gpQueue& aQueue) const;
+  void Refuse(const gpLeaseJobSubmitted& aEvent, const gpLeaseAnswer& aAnswer);
+  /// Answers the caller, stops what runs and forgets the job.
+  void EndJob(gpLeaseRecord& aJob, const gpLeaseAnswer& aAnswer);
+  void StopRuns(const gpLeaseRecord& aJob);
+  void OnTaskDone(gpLeaseRecord& aJob, std::size_t aTask);
+  void OnTaskBack(gpLeaseRecord& aJob, std::size_t aTask, gpRunEnd aEnd);
+  /// Gives up what can't be served any more.
+  void GiveUpLate();
+  void GiveUpOrRecall(gpLeaseRecord& aJob);
+  /// Waits for a lost run to be over. False if the job was given up.
+  bool AwaitLost(gpLeaseRecord& aJob, std::size_t aTask);
+  /// Stops a run that is far too late, to place the task elsewhere.
+  void Recall(gpLeaseRecord& aJob, std::size_t aTask);
+  /// Sends waiting tasks to targets with room.
+  void Dispatch();
+  void SendRun(gpLeaseRecord& aJob, std::size_t aTask, gpIncarnation aGuard);
+  void FlushOrders();
+  void LoseGuard(gpIncarnation aGuard);
+  void TellPeers();
+  void ContinueShutdown();
+  void ScheduleWake();
+  void WriteJob(gpEventKind aKind,
+                const gpLeaseRecord& aJob,
+                const std::string& aDetail);
+  void WriteRun(gpEventKind aKind,
+                const gpLeaseRecord& aJob,
+                const gpRunId& aRun,
+                gpIncarnation aGuard,
+                const std::string& aDetail);
+
+  /// Runs of one job that are sent to one guard together.
+  using OrderKey = std::tuple<gpLinkId, std::string, std::uint32_t>;
+
+  gpLeaseEntryOptions options_;
+  gpTime now_;
+  gpTime startedAt_;
+  gpLeaseEffects out_;
+  gpQueueTable queues_;
+  gpTime queuesAt_;
+  gpEntryFinder finder_;
+  gpTargetBoard board_;
+  gpLeaseJobTable jobs_;
+  /// Guards by link, and links that other entries dialed.
+  std::map<gpLinkId, gpIncarnation> guards_;
+  std::set<gpLinkId> peers_;
+  std::map<OrderKey, gpRunOrder> orders_;
+  std::uint64_t lastRun_ = 0;
+  gpTime wakeAt_;
+  gpTime shutdownAt_ = gpTime::max();
+  bool tellPeers_ = false;
+  bool stopped_ = false;
+};
--- /dev/null
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -0,0 +1,528 @@
+#include "gpLeaseGuardReducer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gpLeaseTimings.h"
+
+namespace {
+
+/// How long a look may wait at the target for the end of a run. Several looks
+/// may be lost before the lease ends.
+constexpr gpMillis kLookWait{ 100 };
+/// Pause after a look that was not answered.
+constexpr gpMillis kLookRetry{ 20 };
+/// Pause between looks at a target without runs.
+constexpr gpMillis kIdleLook{ 500 };
+/// Entries that were not told anything else learn of free room so late at most.
+constexpr gpMillis kRoomPeriod{ 10 };
+/// Period of wake-ups, also for noticing that the process was suspended.
+constexpr gpMillis kTick{ 50 };
+
+} // namespace
+
+gpLeaseGuardReducer::gpLeaseGuardReducer(gpLeaseGuardOptions aOptions)
+  : options_(std::move(aOptions))
+  , finder_(gpAddress())
+  , target_(options_.fence_)
+{
+}
+
+std::vector<gpLeaseEffect>
+gpLeaseGuardReducer::Reduce(const gpLeaseGuardEvent& aEvent)
+{
+  now_ = aEvent.now_;
+  CheckPause();
+  std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
+  Look();
+  TellEntries();
+  ContinueShutdown();
+  ScheduleWake();
+  return out_.Take();
+}
+
+gpLeaseGuardStatus
+gpLeaseGuardReducer::GetStatus() const
+{
+  gpLeaseGuardStatus status;
+  status.runs_ = runs_.GetAll().size();
+  status.entries_ = links_.size();
+  status.targetKnown_ = target_.IsKnown();
+  status.takesWork_ = TakesWork();
+  return status;
+}
+
+void
+gpLeaseGuardReducer::CheckPause()
+{
+  const bool isFirst = lastEventAt_ == gpTime{};
+  const gpTime last = std::exchange(lastEventAt_, now_);
+  if (isFirst || now_ - last < kLongestPause) {
+    return;
+  }
+  WriteTarget(gpEventKind::BadInput,
+              "not scheduled for " +
+                std::to_string((now_ - last).count() / 1000) +
+                " ms, closing links");
+  for (const auto& [link, entry] : std::exchange(links_, {})) {
+    out_.Add(gpCloseLink{ link });
+    finder_.OnLost(link, now_);
+  }
+  for (const auto& [id, run] : runs_.GetAll()) {
+    Stop(*runs_.Find(id));
+  }
+}
+
+bool
+gpLeaseGuardReducer::TakesWork() const
+{
+  return target_.IsKnown() && looked_ && strangers_.empty() &&
+         !target_.IsLeaving() && !target_.IsSilent() &&
+         shutdownEnd_ == gpTime::max();
+}
+
+void
+gpLeaseGuardReducer::On(const gpEntriesFound& aEvent)
+{
+  finder_.Keep(aEvent.entries_, now_, out_);
+}
+
+void
+gpLeaseGuardReducer::On(const gpLinkOpened& aEvent)
+{
+  if (aEvent.peer_.role_ != gpRole::Entry || !aEvent.dialed_.has_value()) {
+    return;
+  }
+  finder_.OnLinked(*aEvent.dialed_, aEvent.link_, now_);
+  const gpIncarnation entry = aEvent.peer_.incarnation_;
+  links_[aEvent.link_].entry_ = entry;
+  out_.Send(aEvent.link_, gpRunsHeld{ runs_.ListOf(entry) });
+}
+
+void
+gpLeaseGuardReducer::On(const gpLinkLost& aEvent)
+{
+  finder_.OnLost(aEvent.link_, now_);
+  const auto found = links_.find(aEvent.link_);
+  if (found == links_.end()) {
+    return;
+  }
+  const gpIncarnation entry = found->second.entry_;
+  links_.erase(found);
+  for (const gpRunId& id : runs_.ListOf(entry)) {
+    Stop(*runs_.Find(id));
+  }
+}
+
+void
+gpLeaseGuardReducer::On(const gpDialFailed& aEvent)
+{
+  finder_.OnDialFailed(aEvent.address_, now_, out_);
+}
+
+void
+gpLeaseGuardReducer::On(const gpMessageReceived& aEvent)
+{
+  // A link that was closed after a pause is not in the table any more.
+  if (links_.contains(aEvent.link_)) {
+    std::visit([&](const auto& aMessage) { OnMessage(aEvent.link_, aMessage); },
+               aEvent.message_);
+  }
+}
+
+void
+gpLeaseGuardReducer::OnMessage(gpLinkId aLink, const gpRunOrder& aMessage)
+{
+  for (const gpRunId& run : aMessage.runs_) {
+    StartOne(aLink, aMessage, run);
+  }
+}
+
+void
+gpLeaseGuardReducer::OnMessage(gpLinkId aLink, const gpRunCancel& aMessage)
+{
+  const gpIncarnation entry = links_.at(aLink).entry_;
+  for (const gpRunId& id : aMessage.runs_) {
+    gpGuardRun* run = runs_.Find(id);
+    if (run != nullptr && run->owner_ == entry) {
+      Stop(*run);
+    }
+  }
+}
+
+void
+gpLeaseGuardReducer::OnMessage(gpLinkId /*aLink*/,
+                               const gpEntryAddresses& aMessage)
+{
+  finder_.Hear(aMessage.entries_, now_, out_);
+}
+
+void
+gpLeaseGuardReducer::StartOne(gpLinkId aLink,
+                              const gpRunOrder& aOrder,
+                              const gpRunId& aRun)
+{
+  EntryLink& link = links_.at(aLink);
+  ++link.runsSeen_;
+  if (!TakesWork()) {
+    const bool isLeaving = shutdownEnd_ != gpTime::max() ||
+                           (target_.IsKnown() && target_.IsLeaving());
+    Refuse(aLink, aRun, isLeaving ? gpRunEnd::Leaving : gpRunEnd::Unhealthy);
+    return;
+  }
+  if (!runs_.GetFree().Covers(aOrder.needs_)) {
+    Refuse(aLink, aRun, gpRunEnd::NoRoom);
+    return;
+  }
+  gpGuardRun run;
+  run.id_ = aRun;
+  run.owner_ = link.entry_;
+  run.needs_ = aOrder.needs_;
+  run.orderedAt_ = now_;
+  if (!runs_.Add(std::move(run))) {
+    Refuse(aLink, aRun, gpRunEnd::Outdated);
+    return;
+  }
+  WriteRun(gpEventKind::TaskAdmitted, aRun, "");
+  out_.Add(gpStartRun{ target_.Get().id_,
+                       aRun,
+                       aOrder.spec_,
+                       target_.GetFence(),
+                       target_.ExtendLease(now_) });
+}
+
+void
+gpLeaseGuardReducer::Refuse(gpLinkId aLink,
+                            const gpRunId& aRun,
+                            gpRunEnd aReason)
+{
+  WriteRun(gpEventKind::TaskRefused, aRun, gpRunEndName(aReason));
+  links_.at(aLink).sentNow_ = true;
+  out_.Send(aLink, gpRunReport{ aRun, aReason, gpMicros(0) });
+}
+
+void
+gpLeaseGuardReducer::Stop(gpGuardRun& aRun)
+{
+  if (aRun.phase_ == gpRunPhase::Stopping) {
+    return;
+  }
+  aRun.phase_ = gpRunPhase::Stopping;
+  aRun.settledAt_.reset();
+  WriteRun(gpEventKind::TaskCancelled, aRun.id_, "");
+  SendStop(aRun);
+}
+
+void
+gpLeaseGuardReducer::SendStop(const gpGuardRun& aRun)
+{
+  if (target_.IsKnown()) {
+    out_.Add(gpStopRun{ target_.Get().id_, aRun.id_, target_.GetFence() });
+  }
+}
+
+void
+gpLeaseGuardReducer::Finish(const gpRunId& aRun, gpRunEnd aEnd)
+{
+  const gpGuardRun* run = runs_.Find(aRun);
+  if (run == nullptr) {
+    return;
+  }
+  WriteRun(gpEventKind::TaskEnded, aRun, gpRunEndName(aEnd));
+  if (run->owner_.has_value()) {
+    ReportTo(*run->owner_, { aRun, aEnd, now_ - run->orderedAt_ });
+  }
+  runs_.Remove(aRun);
+}
+
+void
+gpLeaseGuardReducer::FinishAll()
+{
+  strangers_.clear();
+  std::vector<gpRunId> all;
+  for (const auto& [id, run] : runs_.GetAll()) {
+    all.push_back(id);
+  }
+  for (const gpRunId& id : all) {
+    Finish(id, gpRunEnd::Stopped);
+  }
+}
+
+void
+gpLeaseGuardReducer::ReportTo(gpIncarnation aEntry, gpRunReport aReport)
+{
+  for (auto& [link, entry] : links_) {
+    if (entry.entry_ == aEntry) {
+      entry.sentNow_ = true;
+      out_.Send(link, std::move(aReport));
+      return;
+    }
+  }
+}
+
+void
+gpLeaseGuardReducer::On(const gpTargetHeard& aEvent)
+{
+  if (aEvent.target_.service_ != options_.service_ ||
+      !target_.IsCurrent(aEvent.target_)) {
+    return;
+  }
+  const bool wasDraining = target_.IsKnown() && target_.Get().draining_;
+  const bool isOther = target_.Hear(aEvent.target_, now_);
+  runs_.SetCapacity(aEvent.target_.capacity_);
+  if (isOther) {
+    FinishAll();
+    seenEnds_ = 0;
+    toldSeenEnds_ = 0;
+    looked_ = false;
+    nextLookAt_ = now_;
+    WriteTarget(gpEventKind::TargetAnnounced, aEvent.target_.id_);
+  }
+  if (aEvent.target_.draining_ && !wasDraining) {
+    WriteTarget(gpEventKind::TargetLeaving, aEvent.target_.id_);
+  }
+}
+
+void
+gpLeaseGuardReducer::On(const gpTargetEnded& aEvent)
+{
+  if (target_.IsKnown() && target_.Get().id_ == aEvent.id_) {
+    WriteTarget(gpEventKind::TargetLeaving, aEvent.id_ + " has ended");
+    target_.NoteEnded();
+  }
+}
+
+void
+gpLeaseGuardReducer::On(const gpStartReplied& aEvent)
+{
+  target_.NoteClock(aEvent.clock_, now_);
+  gpGuardRun* run = runs_.Find(aEvent.run_);
+  if (run == nullptr) {
+    return;
+  }
+  switch (aEvent.reply_) {
+    case gpOrderReply::Accepted:
+      if (run->phase_ == gpRunPhase::Starting) {
+        run->phase_ = gpRunPhase::Running;
+        run->settledAt_ = now_;
+      }
+      return;
+    case gpOrderReply::Silent:
+      Stop(*run);
+      return;
+    case gpOrderReply::Fence:
+      target_.RaiseFence();
+      Finish(aEvent.run_, gpRunEnd::Unhealthy);
+      return;
+    case gpOrderReply::Outdated:
+      Finish(aEvent.run_, gpRunEnd::Outdated);
+      return;
+    case gpOrderReply::Late:
+    case gpOrderReply::NoRoom:
+      Finish(aEvent.run_, gpRunEnd::NoRoom);
+      return;
+    case gpOrderReply::Unhealthy:
+    case gpOrderReply::OtherTarget:
+    case gpOrderReply::NotSent:
+      Finish(aEvent.run_, gpRunEnd::Unhealthy);
+      return;
+  }
+}
+
+void
+gpLeaseGuardReducer::On(const gpStopReplied& aEvent)
+{
+  target_.NoteClock(aEvent.clock_, now_);
+  const bool isStranger = strangers_.contains(aEvent.run_);
+  gpGuardRun* run = runs_.Find(aEvent.run_);
+  if (run == nullptr && !isStranger) {
+    return;
+  }
+  if (aEvent.reply_ == gpOrderReply::Accepted) {
+    if (run != nullptr) {
+      run->settledAt_ = now_;
+    }
+    return;
+  }
+  if (aEvent.reply_ == gpOrderReply::Fence) {
+    target_.RaiseFence();
+  }
+  if (aEvent.reply_ == gpOrderReply::NotSent ||
+      aEvent.reply_ == gpOrderReply::OtherTarget || !target_.IsKnown()) {
+    return; // the look decides what became of the runs
+  }
+  out_.Add(gpStopRun{ target_.Get().id_, aEvent.run_, target_.GetFence() });
+}
+
+void
+gpLeaseGuardReducer::On(const gpTargetSeen& aEvent)
+{
+  looking_ = false;
+  target_.NoteClock(aEvent.clock_, now_);
+  if (target_.NoteBorn(aEvent.born_)) {
+    WriteTarget(gpEventKind::TargetLeaving, "another incarnation answered");
+    FinishAll();
+    return;
+  }
+  if (aEvent.reply_ != gpOrderReply::Accepted) {
+    if (aEvent.reply_ == gpOrderReply::Fence) {
+      target_.RaiseFence();
+    }
+    target_.NoteSilence();
+    nextLookAt_ = now_ + kLookRetry;
+    // Without a listener there is no target, so nothing runs.
+    if (aEvent.reply_ == gpOrderReply::NotSent) {
+      FinishAll();
+    }
+    return;
+  }
+  target_.NoteAnswer();
+  looked_ = true;
+  for (const gpEndedRun& ended : aEvent.ended_) {
+    if (ended.position_ > seenEnds_) {
+      seenEnds_ = ended.position_;
+      Finish(ended.run_, ended.end_);
+    }
+  }
+  for (const gpRunId& id : runs_.ListOver(aEvent.sentAt_, aEvent.running_)) {
+    Finish(id, gpRunEnd::Stopped);
+  }
+  const std::set<gpRunId> before = std::exchange(strangers_, {});
+  for (const gpRunId& id : aEvent.running_) {
+    if (runs_.Find(id) != nullptr) {
+      continue;
+    }
+    strangers_.insert(id);
+    if (!before.contains(id)) {
+      WriteRun(gpEventKind::TaskCancelled, id, "not started by this guard");
+      out_.Add(gpStopRun{ target_.Get().id_, id, target_.GetFence() });
+    }
+  }
+  const bool busy = !runs_.IsEmpty() || !strangers_.empty() ||
+                    seenEnds_ != toldSeenEnds_;
+  nextLookAt_ = busy ? now_ : now_ + kIdleLook;
+}
+
+void
+gpLeaseGuardReducer::On(const gpTimePassed&)
+{
+  if (target_.IsSilent() && !runs_.IsEmpty() && target_.HasLapsed(now_)) {
+    WriteTarget(gpEventKind::TargetLeaving, "silent until its lease lapsed");
+    FinishAll();
+  }
+}
+
+void
+gpLeaseGuardReducer::On(const gpShutdownRequested&)
+{
+  if (shutdownEnd_ != gpTime::max()) {
+    return;
+  }
+  shutdownEnd_ = now_ + options_.shutdown_;
+  gpTimelineEvent event;
+  event.kind_ = gpEventKind::ProcessStopping;
+  out_.Write(std::move(event));
+}
+
+void
+gpLeaseGuardReducer::Look()
+{
+  const bool hasStarted = !runs_.IsEmpty();
+  if (looking_ || !target_.IsKnown() ||
+      (now_ < nextLookAt_ && (!hasStarted || target_.IsSilent()))) {
+    return;
+  }
+  looking_ = true;
+  gpLookAtTarget look;
+  look.target_ = target_.Get().id_;
+  look.fence_ = target_.GetFence();
+  look.seenEnds_ = seenEnds_;
+  toldSeenEnds_ = seenEnds_;
+  if (hasStarted && !target_.IsSilent()) {
+    look.leaseEnd_ = target_.ExtendLease(now_);
+    look.wait_ = kLookWait;
+  }
+  out_.Add(std::move(look));
+}
+
+void
+gpLeaseGuardReducer::TellEntries()
+{
+  gpTargetNews news;
+  news.service_ = options_.service_;
+  news.dataCentre_ = options_.dataCentre_;
+  news.takesWork_ = TakesWork();
+  if (target_.IsKnown()) {
+    news.labels_ = target_.Get().labels_;
+    news.capacity_ = target_.Get().capacity_;
+  }
+  const gpResources free = runs_.GetFree();
+  const bool isTime = now_ >= nextTellAt_;
+  for (auto& [link, entry] : links_) {
+    const bool isFirst = !std::exchange(entry.told_, true);
+    const bool isNews = isFirst || news != entry.toldNews_;
+    if (isNews) {
+      entry.toldNews_ = news;
+      out_.Send(link, news);
+    }
+    const bool mayTell = std::exchange(entry.sentNow_, false) || isTime;
+    if (isNews || (mayTell && free != entry.toldFree_)) {
+      entry.toldFree_ = free;
+      out_.Send(link, gpRoomReport{ free, entry.runsSeen_ });
+    }
+  }
+  if (isTime) {
+    nextTellAt_ = now_ + kRoomPeriod;
+  }
+}
+
+void
+gpLeaseGuardReducer::ContinueShutdown()
+{
+  const bool isOver = runs_.IsEmpty() || now_ >= shutdownEnd_;
+  if (shutdownEnd_ != gpTime::max() && isOver && !stopped_) {
+    stopped_ = true;
+    out_.Add(gpStop{});
+  }
+}
+
+void
+gpLeaseGuardReducer::ScheduleWake()
+{
+  gpTime when = now_ + kTick;
+  if (!looking_ && target_.IsKnown()) {
+    when = std::min(when, std::max(nextLookAt_, now_ + gpMillis(1)));
+  }
+  const gpResources free = runs_.GetFree();
+  for (const auto& [link, entry] : links_) {
+    if (free != entry.toldFree_) {
+      when = std::min(when, std::max(nextTellAt_, now_ + gpMillis(1)));
+    }
+  }
+  if (wakeAt_ <= now_ || when < wakeAt_) {
+    wakeAt_ = when;
+    out_.Add(gpWakeAt{ when });
+  }
+}
+
+void
+gpLeaseGuardReducer::WriteTarget(gpEventKind aKind, const std::string& aDetail)
+{
+  gpTimelineEvent event;
+  event.kind_ = aKind;
+  event.detail_ = aDetail;
+  out_.Write(std::move(event));
+}
+
+void
+gpLeaseGuardReducer::WriteRun(gpEventKind aKind,
+                              const gpRunId& aRun,
+                              const std::string& aDetail)
+{
+  gpTimelineEvent event;
+  event.kind_ = aKind;
+  event.key_ = gpServiceKey{ options_.service_, gpSubmissionKey(aRun.task_) };
+  event.number_ = aRun.number_;
+  event.detail_ = aDetail;
+  out_.Write(std::move(event));
+}
--- /dev/null
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "gpEntryFinder.h"
+#include "gpLeaseEvent.h"
+#include "gpLinkBook.h"
+#include "gpRunTable.h"
+#include "gpTargetSession.h"
+
+/** \class gpLeaseGuardOptions
+ * \brief What a guard for best-effort jobs is told at its start.
+ */
+struct gpLeaseGuardOptions
+{
+  gpServiceName service_;
+  gpDataCentreName dataCentre_;
+  /// Higher than the fence of any former incarnation.
+  std::uint64_t fence_ = 0;
+  /// Longest time for the end of the runs at a shutdown.
+  gpMillis shutdown_{ 0 };
+};
+
+/** \class gpLeaseGuardStatus
+ * \brief What a guard shows of itself.
+ */
+struct gpLeaseGuardStatus
+{
+  std::size_t runs_ = 0;
+  std::size_t entries_ = 0;
+  bool targetKnown_ = false;
+  bool takesWork_ = false;
+};
+
+/** \class gpLeaseGuardReducer
+ * \brief All decisions of a guard for best-effort jobs: starts and stops runs
+ * at its target for the entries, and keeps the target's lease.
+ *
+ * A run whose entry is gone is stopped. A start without an answer is settled
+ * by a stop, repeated until it's answered: after it the target refuses the run.
+ */
+class gpLeaseGuardReducer
+{
+public:
+  explicit gpLeaseGuardReducer(gpLeaseGuardOptions aOptions);
+
+  std::vector<gpLeaseEffect> Reduce(const gpLeaseGuardEvent& aEvent);
+  gpLeaseGuardStatus GetStatus() const;
+
+private:
+  /// What an entry at the other end of a link was told.
+  struct EntryLink
+  {
+    gpIncarnation entry_;
+    std::uint64_t runsSeen_ = 0;
+    bool sentNow_ = false;
+    gpResources toldFree_;
+    gpTargetNews toldNews_;
+    bool told_ = false;
+  };
+
+  void On(const gpEntriesFound& aEvent);
+  void On(const gpLinkOpened& aEvent);
+  void On(const gpLinkLost& aEvent);
+  void On(const gpDialFailed& aEvent);
+  void On(const gpMessageReceived& aEvent);
+  void On(const gpTargetHeard& aEvent);
+  void On(const gpTargetEnded& aEvent);
+  void On(const gpStartReplied& aEvent);
+  void On(const gpStopReplied& aEvent);
+  void On(const gpTargetSeen& aEvent);
+  void On(const gpTimePassed& aEvent);
+  void On(const gpShutdownRequested& aEvent);
+
+  void OnMessage(gpLinkId aLink, const gpRunOrder& aMessage);
+  void OnMessage(gpLinkId aLink, const gpRunCancel& aMessage);
+  void OnMessage(gpLinkId aLink, const gpEntryAddresses& aMessage);
+  /// A message that these guards don't take.
+  template<typename Message>
+  void OnMessage(gpLinkId, const Message&)
+  {
+  }
+
+  /// Closes all links if the process was not scheduled for too long.
+  void CheckPause();
+  bool TakesWork() const;
+  void StartOne(gpLinkId aLink, const gpRunOrder& aOrder, const gpRunId& aRun);
+  /// Stops a run that may be at work, or makes sure that it never begins.
+  void Stop(gpGuardRun& aRun);
+  void SendStop(const gpGuardRun& aRun);
+  /// The run is over: tells its entry and frees its room.
+  void Finish(const gpRunId& aRun, gpRunEnd aEnd);
+  /// Nothing runs at the target any more.
+  void FinishAll();
+  void Refuse(gpLinkId aLink, const gpRunId& aRun, gpRunEnd aReason);
+  void ReportTo(gpIncarnation aEntry, gpRunReport aReport);
+  /// Looks at the target if it's time, which also renews its lease.
+  void Look();
+  void TellEntries();
+  void ContinueShutdown();
+  void ScheduleWake();
+  void WriteTarget(gpEventKind aKind, const std::string& aDetail);
+  void WriteRun(gpEventKind aKind,
+                const gpRunId& aRun,
+                const std::string& aDetail);
+
+  gpLeaseGuardOptions options_;
+  gpTime now_;
+  gpLeaseEffects out_;
+  gpEntryFinder finder_;
+  std::map<gpLinkId, EntryLink> links_;
+  gpTargetSession target_;
+  gpRunTable runs_;
+  /// Runs that the target shows but this incarnation hasn't started.
+  std::set<gpRunId> strangers_;
+  std::uint64_t seenEnds_ = 0;
+  std::uint64_t toldSeenEnds_ = 0;
+  bool looking_ = false;
+  /// A look has been answered since the target was first heard.
+  bool looked_ = false;
+  gpTime nextLookAt_;
+  gpTime lastEventAt_;
+  gpTime wakeAt_;
+  gpTime nextTellAt_;
+  gpTime shutdownEnd_ = gpTime::max();
+  bool stopped_ = false;
+};
--- /dev/null
+++ b/Source/Lease/gpLeaseJob.cxx
@@ -0,0 +1,30 @@
+#include "gpLeaseJob.h"
+
+#include <array>
+
+namespace {
+
+constexpr std::array kOutcomes = { "completed",
+                                   "failed",
+                                   "cancelled",
+                                   "not_run",
+                                   "no_queue" };
+constexpr std::array kReasons = {
+  "none",          "no_configuration", "no_target", "too_large",
+  "overloaded",    "shutting_down",    "duplicate", "task_failed",
+  "target_lost",   "deadline_exceeded", "caller_gone",
+};
+
+} // namespace
+
+std::string
+gpLeaseOutcomeName(gpLeaseOutcome aOutcome)
+{
+  return kOutcomes.at(static_cast<std::size_t>(aOutcome));
+}
+
+std::string
+gpLeaseReasonName(gpLeaseReason aReason)
+{
+  return kReasons.at(static_cast<std::size_t>(aReason));
+}
--- /dev/null
+++ b/Source/Lease/gpTargetBoard.cxx
@@ -0,0 +1,231 @@
+#include "gpTargetBoard.h"
+
+#include <algorithm>
+
+namespace {
+
+/// Weight of the newest run in the average of a target's slowness.
+constexpr double kNewestWeight = 0.1;
+constexpr double kLeastSlowness = 0.1;
+constexpr double kMostSlowness = 20.0;
+/// Estimates under this say little about speed.
+constexpr gpMillis kLeastEstimate{ 5 };
+/// A run that takes so many times what is expected of the target, and the
+/// pause, makes the target suspect. Estimates are off by up to a half.
+constexpr double kOverdueFactor = 4.0;
+constexpr gpMillis kOverduePause{ 200 };
+/// What a target in another data centre must gain to be preferred.
+constexpr double kOtherDataCentreMs = 1.0;
+/// What a guard counts for that is to be avoided.
+constexpr double kAvoidMs = 1e6;
+
+/// Consecutive failures, of as many jobs, that eject a target.
+constexpr std::uint32_t kFailuresToEject = 3;
+/// Pause before a target that was ejected is tried again.
+constexpr gpMillis kProbeAfter{ 1000 };
+
+gpEjectionSettings
+EjectionSettings()
+{
+  gpEjectionSettings settings;
+  settings.failures_ = kFailuresToEject;
+  settings.probeAfter_ = kProbeAfter;
+  return settings;
+}
+
+} // namespace
+
+gpResources
+gpTargetView::GetFree() const
+{
+  gpResources free = reportedFree_;
+  for (const auto& [number, needs] : unreported_) {
+    free.Take(needs);
+  }
+  return free;
+}
+
+bool
+gpTargetView::IsStalled(gpTime aNow) const
+{
+  return std::any_of(overdueAt_.begin(),
+                     overdueAt_.end(),
+                     [aNow](const auto& aRun) { return aRun.second < aNow; });
+}
+
+void
+gpTargetBoard::OnLinked(gpIncarnation aGuard, gpLinkId aLink)
+{
+  gpTargetView& view = views_[aGuard];
+  view.link_ = aLink;
+  view.runsOrdered_ = 0;
+  view.unreported_.clear();
+}
+
+void
+gpTargetBoard::OnNews(gpIncarnation aGuard, const gpTargetNews& aNews)
+{
+  if (gpTargetView* view = Find(aGuard)) {
+    view->news_ = aNews;
+  }
+}
+
+void
+gpTargetBoard::OnRoom(gpIncarnation aGuard, const gpRoomReport& aRoom)
+{
+  gpTargetView* view = Find(aGuard);
+  if (view == nullptr) {
+    return;
+  }
+  view->reportedFree_ = aRoom.free_;
+  while (!view->unreported_.empty() &&
+         view->unreported_.front().first <= aRoom.runsSeen_) {
+    view->unreported_.pop_front();
+  }
+}
+
+gpTargetView*
+gpTargetBoard::Find(gpIncarnation aGuard)
+{
+  const auto found = views_.find(aGuard);
+  return found == views_.end() ? nullptr : &found->second;
+}
+
+bool
+gpTargetBoard::MayStart(const gpTargetView& aView, gpTime aNow) const
+{
+  return aView.news_.takesWork_ && aView.health_.MayStart(aNow) &&
+         !aView.IsStalled(aNow);
+}
+
+std::optional<gpIncarnation>
+gpTargetBoard::Choose(const gpServiceName& aService,
+                      const gpResources& aNeeds,
+                      gpMillis aEstimate,
+                      const std::set<gpIncarnation>& aAvoid,
+                      gpTime aNow) const
+{
+  std::optional<gpIncarnation> best;
+  double bestCost = 0;
+  for (const auto& [guard, view] : views_) {
+    if (view.news_.service_ != aService || !MayStart(view, aNow) ||
+        !view.GetFree().Covers(aNeeds)) {
+      continue;
+    }
+    double cost = static_cast<double>(aEstimate.count()) * view.slowness_;
+    cost += view.news_.dataCentre_ == dataCentre_ ? 0.0 : kOtherDataCentreMs;
+    cost += aAvoid.contains(guard) ? kAvoidMs : 0.0;
+    if (!best.has_value() || cost < bestCost) {
+      best = guard;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+void
+gpTargetBoard::NoteSent(gpIncarnation aGuard,
+                        const gpRunId& aRun,
+                        const gpResources& aNeeds,
+                        gpMillis aEstimate,
+                        gpTime aNow)
+{
+  gpTargetView* view = Find(aGuard);
+  if (view == nullptr) {
+    return;
+  }
+  view->health_.NoteStart();
+  view->unreported_.emplace_back(++view->runsOrdered_, aNeeds);
+  const double expected =
+    static_cast<double>(aEstimate.count()) * std::max(1.0, view->slowness_);
+  view->overdueAt_.insert_or_assign(
+    aRun,
+    aNow + kOverduePause +
+      gpMillis(static_cast<std::int64_t>(expected * kOverdueFactor)));
+}
+
+void
+gpTargetBoard::NoteEnded(gpIncarnation aGuard,
+                         const std::string& aJob,
+                         const gpRunReport& aReport,
+                         gpMillis aEstimate,
+                         gpTime aNow)
+{
+  gpTargetView* view = Find(aGuard);
+  if (view == nullptr) {
+    return;
+  }
+  const auto overdue = view->overdueAt_.find(aReport.run_);
+  const bool wasStalled =
+    overdue != view->overdueAt_.end() && overdue->second < aNow;
+  view->overdueAt_.erase(aReport.run_);
+  switch (aReport.end_) {
+    case gpRunEnd::Done: {
+      view->health_.NoteSuccess();
+      if (aEstimate >= kLeastEstimate) {
+        const double ratio =
+          std::clamp(static_cast<double>(aReport.time_.count()) /
+                       static_cast<double>(gpMicros(aEstimate).count()),
+                     kLeastSlowness,
+                     kMostSlowness);
+        view->slowness_ += kNewestWeight * (ratio - view->slowness_);
+      }
+      return;
+    }
+    case gpRunEnd::Failed:
+      // A job that can never be done fails everywhere; it counts once.
+      if (view->lastFailedJob_ != aJob) {
+        view->lastFailedJob_ = aJob;
+        view->health_.NoteFailure(EjectionSettings(), true, aNow);
+      }
+      return;
+    case gpRunEnd::Unhealthy:
+      view->health_.NoteFailure(EjectionSettings(), true, aNow);
+      return;
+    case gpRunEnd::Stopped:
+      if (wasStalled) {
+        view->health_.NoteFailure(EjectionSettings(), true, aNow);
+      } else {
+        view->health_.NoteNotRun();
+      }
+      return;
+    case gpRunEnd::NoRoom:
+    case gpRunEnd::Leaving:
+    case gpRunEnd::Outdated:
+      view->health_.NoteNotRun();
+      return;
+  }
+}
+
+bool
+gpTargetBoard::HasTarget(const gpServiceName& aService) const
+{
+  return std::any_of(views_.begin(), views_.end(), [&](const auto& aEntry) {
+    const gpTargetNews& news = aEntry.second.news_;
+    return news.takesWork_ && news.service_ == aService;
+  });
+}
+
+bool
+gpTargetBoard::CouldHold(const gpServiceName& aService,
+                         const gpResources& aNeeds) const
+{
+  return std::any_of(views_.begin(), views_.end(), [&](const auto& aEntry) {
+    const gpTargetNews& news = aEntry.second.news_;
+    return news.service_ == aService && news.capacity_.Covers(aNeeds);
+  });
+}
+
+double
+gpTargetBoard::GetCapacity(const gpServiceName& aService) const
+{
+  double capacity = 0;
+  for (const auto& [guard, view] : views_) {
+    if (view.news_.takesWork_ && view.news_.service_ == aService &&
+        !view.health_.IsEjected()) {
+      capacity +=
+        static_cast<double>(view.news_.capacity_.milliCores_) / view.slowness_;
+    }
+  }
+  return capacity;
+}
--- /dev/null
+++ b/Source/Lease/gpTargetBoard.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gpIds.h"
+#include "gpRunMessages.h"
+#include "gpTargetHealth.h"
+#include "gpTime.h"
+
+/** \class gpTargetView
+ * \brief What an entry knows of one guard and its target.
+ */
+struct gpTargetView
+{
+  gpLinkId link_;
+  gpTargetNews news_;
+  gpResources reportedFree_;
+  /// Runs ordered on this link; the first ones are in the guard's reports.
+  std::uint64_t runsOrdered_ = 0;
+  /// Needs of the ordered runs that no report takes into account yet, each with
+  /// its number in the order of sending.
+  std::deque<std::pair<std::uint64_t, gpResources>> unreported_;
+  /// Run time over estimate, averaged; under 1 is faster than estimated.
+  double slowness_ = 1.0;
+  gpTargetHealth health_;
+  /// The job whose failure counted last against the target.
+  std::string lastFailedJob_;
+  /// When each run in flight is expected to have ended at the latest.
+  std::map<gpRunId, gpTime> overdueAt_;
+
+  /// What is free, as far as this entry can know.
+  gpResources GetFree() const;
+  /// A run is so late that the target may not be working at all.
+  bool IsStalled(gpTime aNow) const;
+};
+
+/** \class gpTargetBoard
+ * \brief The targets that an entry can send runs to, and how they did so far.
+ */
+class gpTargetBoard
+{
+public:
+  /// aDataCentre is the entry's own, preferred among equals.
+  explicit gpTargetBoard(gpDataCentreName aDataCentre)
+    : dataCentre_(std::move(aDataCentre))
+  {
+  }
+
+  void OnLinked(gpIncarnation aGuard, gpLinkId aLink);
+  void OnLost(gpIncarnation aGuard) { views_.erase(aGuard); }
+  void OnNews(gpIncarnation aGuard, const gpTargetNews& aNews);
+  void OnRoom(gpIncarnation aGuard, const gpRoomReport& aRoom);
+
+  gpTargetView* Find(gpIncarnation aGuard);
+  const std::map<gpIncarnation, gpTargetView>& GetAll() const { return views_; }
+
+  /// The target with room that is expected to end such a task first; not set
+  /// if none has room. aAvoid are guards to take only if there is no other.
+  std::optional<gpIncarnation> Choose(const gpServiceName& aService,
+                                      const gpResources& aNeeds,
+                                      gpMillis aEstimate,
+                                      const std::set<gpIncarnation>& aAvoid,
+                                      gpTime aNow) const;
+  /// A run was sent.
+  void NoteSent(gpIncarnation aGuard,
+                const gpRunId& aRun,
+                const gpResources& aNeeds,
+                gpMillis aEstimate,
+                gpTime aNow);
+  /// A run has ended or was refused.
+  void NoteEnded(gpIncarnation aGuard,
+                 const std::string& aJob,
+                 const gpRunReport& aReport,
+                 gpMillis aEstimate,
+                 gpTime aNow);
+
+  /// Whether a target of the service takes work.
+  bool HasTarget(const gpServiceName& aService) const;
+  /// Whether a target of the service could hold the task when it is empty.
+  bool CouldHold(const gpServiceName& aService, const gpResources& aNeeds) const;
+  /// Processor of all targets of the service that take work, in thousandths of
+  /// a core of average speed.
+  double GetCapacity(const gpServiceName& aService) const;
+
+private:
+  bool MayStart(const gpTargetView& aView, gpTime aNow) const;
+
+  gpDataCentreName dataCentre_;
+  std::map<gpIncarnation, gpTargetView> views_;
+};
--- /dev/null
+++ b/Source/Lease/gpTargetSession.cxx
@@ -0,0 +1,76 @@
+#include "gpTargetSession.h"
+
+#include <chrono>
+
+#include "gpLeaseTimings.h"
+
+bool
+gpTargetSession::IsCurrent(const gpTargetAnnouncement& aTarget) const
+{
+  if (!target_.has_value()) {
+    return toldBorn_ == 0 || aTarget.born_ >= toldBorn_;
+  }
+  if (aTarget.born_ == target_->born_) {
+    return aTarget.id_ == target_->id_ &&
+           aTarget.sequence_ > target_->sequence_;
+  }
+  // A time of start may go back with the time of day; the target itself knows.
+  return aTarget.born_ > target_->born_ || aTarget.born_ == toldBorn_;
+}
+
+bool
+gpTargetSession::Hear(const gpTargetAnnouncement& aTarget, gpTime aNow)
+{
+  if (!IsCurrent(aTarget)) {
+    return false;
+  }
+  const bool isSame = target_.has_value() && target_->id_ == aTarget.id_ &&
+                      target_->born_ == aTarget.born_;
+  target_ = aTarget;
+  if (isSame) {
+    return false;
+  }
+  // Orders for the incarnation before may still be under way; the higher fence
+  // makes the new one refuse them.
+  RaiseFence();
+  ended_ = false;
+  silences_ = 0;
+  toldBorn_ = aTarget.born_;
+  lapsedAt_ = aNow;
+  clock_ = 0;
+  return true;
+}
+
+bool
+gpTargetSession::NoteBorn(std::uint64_t aBorn)
+{
+  if (aBorn == 0 || aBorn == toldBorn_) {
+    return false;
+  }
+  const bool isFirst = toldBorn_ == 0;
+  toldBorn_ = aBorn;
+  if (isFirst || !target_.has_value() || target_->born_ == aBorn) {
+    return false;
+  }
+  target_.reset();
+  RaiseFence();
+  return true;
+}
+
+void
+gpTargetSession::NoteClock(std::uint64_t aClock, gpTime aNow)
+{
+  if (aClock != 0) {
+    clock_ = aClock;
+    clockAt_ = aNow;
+  }
+}
+
+std::uint64_t
+gpTargetSession::ExtendLease(gpTime aNow)
+{
+  lapsedAt_ = aNow + kLease + kLeaseSlack;
+  const auto passed =
+    std::chrono::duration_cast<gpMillis>(aNow - clockAt_).count();
+  return clock_ + static_cast<std::uint64_t>(passed + kLease.count());
+}
--- /dev/null
+++ b/Source/Lease/gpTargetSession.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "gpLeaseEvent.h"
+
+/** \class gpTargetSession
+ * \brief What a guard knows of the incarnation of its target: who it is, its
+ * clock, its lease and whether it answers.
+ */
+class gpTargetSession
+{
+public:
+  /// aFence is higher than that of the guard's former incarnations.
+  explicit gpTargetSession(std::uint64_t aFence)
+    : fence_(aFence)
+  {
+  }
+
+  /// Takes a heartbeat. True if it's from another incarnation than before, so
+  /// that nothing runs at the target any more.
+  bool Hear(const gpTargetAnnouncement& aTarget, gpTime aNow);
+  /// Takes the incarnation that the target itself told. True if it's another
+  /// one; the target is then unknown until its next heartbeat.
+  bool NoteBorn(std::uint64_t aBorn);
+  /// Notes the target's clock, in ms, as of an answer that came now.
+  void NoteClock(std::uint64_t aClock, gpTime aNow);
+  void NoteAnswer() { silences_ = 0; }
+  void NoteSilence() { ++silences_; }
+  void RaiseFence() { fence_ += kFenceStep; }
+  /// The target said that it ends.
+  void NoteEnded() { ended_ = true; }
+  /// Whether a heartbeat is of the present incarnation or a newer one.
+  bool IsCurrent(const gpTargetAnnouncement& aTarget) const;
+
+  bool IsKnown() const { return target_.has_value(); }
+  const gpTargetAnnouncement& Get() const { return *target_; }
+  bool IsSilent() const { return silences_ >= kSilencesToGiveUp; }
+  bool IsLeaving() const { return ended_ || target_->draining_; }
+  std::uint64_t GetFence() const { return fence_; }
+  /// A new end of the lease, in ms on the target's clock; noted as sent.
+  std::uint64_t ExtendLease(gpTime aNow);
+  /// True once the last lease that was sent has lapsed for certain.
+  bool HasLapsed(gpTime aNow) const { return aNow >= lapsedAt_; }
+
+private:
+  static constexpr std::uint64_t kFenceStep = 1000;
+  /// Answers that are missing in a row before no more work is given.
+  static constexpr int kSilencesToGiveUp = 4;
+
+  std::optional<gpTargetAnnouncement> target_;
+  /// The incarnation that the target told last in an answer; 0 if none.
+  std::uint64_t toldBorn_ = 0;
+  std::uint64_t fence_;
+  std::uint64_t clock_ = 0;
+  gpTime clockAt_;
+  gpTime lapsedAt_;
+  int silences_ = 0;
+  bool ended_ = false;
+};
--- a/Source/Model/gpError.h
+++ b/Source/Model/gpError.h
@@ -14,6 +14,7 @@
   BadSettings,      ///< a settings file of a process
   BadConfiguration, ///< a configuration file
   BadRequest,       ///< a caller's request
+  Unsupported,      ///< a request for something that isn't built
   BadFrame,         ///< bytes of a peer that are no frame
   BadRecord,        ///< a record of the log that can't be read
   FrameTooLarge,    ///< a frame over the size limit
--- a/Source/Model/gpMessage.h
+++ b/Source/Model/gpMessage.h
@@ -6,6 +6,7 @@
 
 #include "gpClaimMessages.h"
 #include "gpMember.h"
+#include "gpRunMessages.h"
 #include "gpStartMessages.h"
 
 /** \class gpConfigurationNews
@@ -78,4 +79,11 @@
                                gpConfigurationNews,
                                gpRosterNews,
                                gpAnnounce,
-                               gpNewsRequest>;
+                               gpNewsRequest,
+                               gpRunOrder,
+                               gpRunCancel,
+                               gpRunReport,
+                               gpRunsHeld,
+                               gpTargetNews,
+                               gpRoomReport,
+                               gpEntryAddresses>;
--- a/Source/Model/gpNames.cxx
+++ b/Source/Model/gpNames.cxx
@@ -2,6 +2,7 @@
 
 #include "gpAnswer.h"
 #include "gpMember.h"
+#include "gpRunMessages.h"
 
 namespace {
 
@@ -26,8 +27,19 @@
   "command",
 };
 
+constexpr std::array<const char*, 7> kRunEndNames = {
+  "done",    "failed",    "stopped",  "no_room",
+  "leaving", "unhealthy", "outdated",
+};
+
 } // namespace
 
+std::string
+gpRunEndName(gpRunEnd aEnd)
+{
+  return kRunEndNames.at(static_cast<std::size_t>(aEnd));
+}
+
 std::string_view
 gpOutcomeName(gpOutcome aOutcome)
 {
--- /dev/null
+++ b/Source/Process/gpLeaseNode.cxx
@@ -0,0 +1,169 @@
+#include "gpLeaseNode.h"
+
+#include "gpLeaseTimings.h"
+
+namespace {
+
+constexpr int kUnavailable = 503;
+constexpr int kNotFound = 404;
+/// A caller that doesn't read its answer delays the end so long at most.
+constexpr gpMillis kDrainTime{ 300 };
+/// Connections to the target or the store; each takes up to 64.
+constexpr std::size_t kConnections = 48;
+constexpr gpMillis kConnectTimeout{ 300 };
+constexpr gpMillis kRedial{ 100 };
+constexpr const char* kReadyPath = "/v1/readyz";
+constexpr const char* kMetricsPath = "/metrics";
+constexpr const char* kStatusPath = "/v1/status";
+
+gpNodeOptions
+MakeNodeOptions(const gpLeaseSettings& aSettings, gpRole aRole)
+{
+  gpNodeOptions options;
+  options.role_ = aRole;
+  options.name_ = aSettings.name_;
+  options.linkListen_ = aSettings.linkListen_;
+  options.eventLog_ = aSettings.eventLog_;
+  options.links_.heartbeat_ = kLinkHeartbeat;
+  options.links_.silence_ = kLinkSilence;
+  options.links_.connectTimeout_ = kConnectTimeout;
+  options.links_.redial_ = kRedial;
+  options.connections_ = kConnections;
+  return options;
+}
+
+} // namespace
+
+gpLeaseNode::gpLeaseNode(const gpLeaseSettings& aSettings,
+                         gpRole aRole,
+                         gpLinkService::Handlers aLinks,
+                         StatusHandlers aStatus)
+  : gpNode(MakeNodeOptions(aSettings, aRole), std::move(aLinks))
+  , status_(loop_,
+            gpHttpLimits{},
+            { [this](gpRequestId aRequest, const gpHttpRequest& aHttp) {
+               OnStatusRequest(aRequest, aHttp);
+             },
+              [](gpRequestId) {} })
+  , settings_(aSettings)
+  , statusHandlers_(std::move(aStatus))
+{
+}
+
+absl::Status
+gpLeaseNode::OpenNode()
+{
+  absl::Status status = OpenLinks();
+  if (!status.ok()) {
+    return status;
+  }
+  const auto listening = status_.Listen(settings_.statusListen_);
+  if (!listening.ok()) {
+    return listening.status();
+  }
+  NoteListening("status", *listening);
+  return status;
+}
+
+bool
+gpLeaseNode::Carry(gpLeaseEffect& aEffect, const std::function<void()>& aWake)
+{
+  if (auto* send = std::get_if<gpSend>(&aEffect)) {
+    Send(send->link_, std::move(send->message_));
+  } else if (const auto* watch = std::get_if<gpWatchAddress>(&aEffect)) {
+    links_.Watch(watch->address_);
+  } else if (const auto* unwatch = std::get_if<gpUnwatchAddress>(&aEffect)) {
+    links_.Unwatch(unwatch->address_);
+  } else if (const auto* close = std::get_if<gpCloseLink>(&aEffect)) {
+    links_.Close(close->link_);
+  } else if (const auto* wake = std::get_if<gpWakeAt>(&aEffect)) {
+    WakeAt(wake->when_, aWake);
+  } else if (const auto* write = std::get_if<gpWriteTimeline>(&aEffect)) {
+    Write(write->event_);
+  } else if (std::holds_alternative<gpStop>(aEffect)) {
+    StopGracefully();
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void
+gpLeaseNode::StopGracefully()
+{
+  if (std::exchange(stopping_, true)) {
+    return;
+  }
+  gpTimelineEvent stopped;
+  stopped.kind_ = gpEventKind::ProcessStopped;
+  Write(stopped);
+  CloseServers([this] { links_.Flush([this] { loop_.Stop(); }); });
+  timers_.Subscribe(gpEventLoop::Now() + kDrainTime, [this] { loop_.Stop(); });
+}
+
+bool
+gpLeaseNode::KeepNews(gpConfigurationNews aNews)
+{
+  if (news_.has_value() && aNews.version_ <= news_->version_) {
+    return false;
+  }
+  news_ = std::move(aNews);
+  return true;
+}
+
+void
+gpLeaseNode::AnswerNews(gpLinkId aLink, const gpNewsRequest& aRequest)
+{
+  if (news_.has_value() && news_->version_ > aRequest.version_) {
+    Send(aLink, *news_);
+  }
+}
+
+void
+gpLeaseNode::AskForNews(gpLinkId aLink)
+{
+  gpNewsRequest request;
+  request.version_ = news_.has_value() ? news_->version_ : gpConfigVersion();
+  Send(aLink, request);
+}
+
+void
+gpLeaseNode::NoteStoreHealth(const absl::Status& aStatus)
+{
+  gpTimelineEvent event;
+  event.kind_ =
+    aStatus.ok() ? gpEventKind::LogAvailable : gpEventKind::LogUnavailable;
+  event.detail_ = aStatus.ok() ? "" : gpErrorText(aStatus);
+  Write(event);
+}
+
+void
+gpLeaseNode::OnStatusRequest(gpRequestId aRequest, const gpHttpRequest& aHttp)
+{
+  gpHttpResponse response;
+  if (aHttp.target_ == kReadyPath) {
+    const bool isReady = statusHandlers_.isReady_();
+    response.status_ = isReady ? response.status_ : kUnavailable;
+    response.body_ = isReady ? R"({"ready":true})" : R"({"ready":false})";
+  } else if (aHttp.target_ == kMetricsPath) {
+    response.contentType_ = "text/plain; version=0.0.4";
+    response.body_ = RenderMetrics();
+  } else if (aHttp.target_ == kStatusPath) {
+    response.body_ = RenderStatus();
+  } else {
+    response.status_ = kNotFound;
+    response.body_ = R"({"error":"not_found"})";
+  }
+  status_.Respond(aRequest, std::move(response));
+}
+
+std::string
+gpLeaseNode::RenderStatus() const
+{
+  const std::uint64_t version = news_.has_value() ? news_->version_.value_ : 0;
+  return R"({"process":")" + settings_.name_ + R"(","role":")" +
+         std::string(gpRoleName(GetSelf().role_)) + R"(","incarnation":")" +
+         gpIncarnationText(GetSelf().incarnation_) +
+         R"(","configuration_version":)" + std::to_string(version) +
+         statusHandlers_.fields_() + "}";
+}
--- /dev/null
+++ b/Source/Process/gpLeaseNode.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "gpHttpServer.h"
+#include "gpLeaseEvent.h"
+#include "gpLeaseSettings.h"
+#include "gpNode.h"
+
+/** \class gpLeaseNode
+ * \brief What entries and guards for best-effort jobs have in common beside
+ * gpNode: the effects that both have, the newest configuration, which each
+ * passes on to peers that ask, and an HTTP server for readiness and metrics.
+ */
+class gpLeaseNode : public gpNode
+{
+public:
+  struct StatusHandlers
+  {
+    std::function<bool()> isReady_;
+    /// Further fields of the status, such as `,"runs":3`.
+    std::function<std::string()> fields_;
+  };
+
+  gpLeaseNode(const gpLeaseSettings& aSettings,
+              gpRole aRole,
+              gpLinkService::Handlers aLinks,
+              StatusHandlers aStatus);
+
+  /// Opens the event log, and listens for links and for questions of status.
+  absl::Status OpenNode();
+  /// Carries an effect out. False if it's none that all nodes have.
+  bool Carry(gpLeaseEffect& aEffect, const std::function<void()>& aWake);
+
+  /// The newest configuration that this node has; not set if it has none.
+  const std::optional<gpConfigurationNews>& GetNews() const { return news_; }
+  /// Keeps a configuration if it's newer. False if it isn't.
+  bool KeepNews(gpConfigurationNews aNews);
+  /// Answers a request for the configuration.
+  void AnswerNews(gpLinkId aLink, const gpNewsRequest& aRequest);
+  /// Asks the peer for the configuration, if it has a newer one.
+  void AskForNews(gpLinkId aLink);
+
+  /// Notes the health of the store in the time line.
+  void NoteStoreHealth(const absl::Status& aStatus);
+
+  /// Called before a node that was asked to end does so, to close its servers.
+  virtual void CloseServers(std::function<void()> aClosed) = 0;
+
+protected:
+  ~gpLeaseNode() = default;
+
+  gpHttpServer status_;
+
+private:
+  void OnStatusRequest(gpRequestId aRequest, const gpHttpRequest& aHttp);
+  std::string RenderStatus() const;
+  void StopGracefully();
+
+  gpLeaseSettings settings_;
+  StatusHandlers statusHandlers_;
+  std::optional<gpConfigurationNews> news_;
+  bool stopping_ = false;
+};
+
+/** \brief Link handlers that turn what happens on links into events. aGive is
+ * called with each of them.
+ */
+template<typename Give>
+gpLinkService::Handlers
+gpMakeLeaseLinkHandlers(gpLeaseNode& aNode, Give aGive)
+{
+  gpLinkService::Handlers handlers;
+  handlers.up_ = [&aNode, aGive](gpLinkId aLink,
+                                 const gpPeer& aPeer,
+                                 std::optional<gpAddress> aDialed) {
+    aNode.NoteLinkOpened(aLink, aPeer);
+    aGive(gpLinkOpened{ aLink, aPeer, std::move(aDialed) });
+  };
+  handlers.down_ = [&aNode, aGive](gpLinkId aLink, gpErrorCode aReason) {
+    aNode.NoteLinkLost(aLink, aReason);
+    aGive(gpLinkLost{ aLink, aReason });
+  };
+  handlers.message_ = [&aNode, aGive](gpLinkId aLink, gpMessage aMessage) {
+    if (const auto* request = std::get_if<gpNewsRequest>(&aMessage)) {
+      aNode.AnswerNews(aLink, *request);
+      return;
+    }
+    aGive(gpMessageReceived{ aLink, std::move(aMessage) });
+  };
+  handlers.dialFailed_ = [aGive](const gpAddress& aAddress,
+                                 gpErrorCode aReason) {
+    aGive(gpDialFailed{ aAddress, aReason });
+  };
+  return handlers;
+}
--- /dev/null
+++ b/Source/Process/gpNode.cxx
@@ -0,0 +1,153 @@
+#include "gpNode.h"
+
+#include <random>
+#include <utility>
+
+#include "gpMessageName.h"
+
+namespace {
+
+gpIncarnation
+DrawIncarnation()
+{
+  std::random_device device;
+  std::uniform_int_distribution<std::uint64_t> pick(1);
+  return gpIncarnation(pick(device));
+}
+
+} // namespace
+
+gpNode::gpNode(gpNodeOptions aOptions, gpLinkService::Handlers aLinks)
+  : timers_(loop_)
+  , eventLog_(clock_)
+  , httpClient_(loop_, aOptions.connections_)
+  , links_(loop_,
+           timers_,
+           clock_,
+           aOptions.links_,
+           WithBadInput(std::move(aLinks)))
+  , options_(std::move(aOptions))
+{
+  self_.role_ = options_.role_;
+  self_.name_ = options_.name_;
+  self_.incarnation_ = DrawIncarnation();
+}
+
+absl::Status
+gpNode::OpenLinks()
+{
+  absl::Status status = eventLog_.Open(
+    options_.eventLog_, options_.role_, options_.name_, self_.incarnation_);
+  if (!status.ok()) {
+    return status;
+  }
+  gpTimelineEvent started;
+  started.kind_ = gpEventKind::ProcessStarted;
+  started.detail_ = GP_VERSION;
+  Write(started);
+  const auto links = links_.Listen(options_.linkListen_);
+  if (!links.ok()) {
+    return links.status();
+  }
+  const bool hasOther = !options_.linkAdvertise_.value_.empty();
+  self_.address_ = hasOther ? options_.linkAdvertise_ : *links;
+  links_.SetSelf(self_);
+  NoteListening("links", *links);
+  return status;
+}
+
+void
+gpNode::NoteListening(const std::string& aPurpose, const gpAddress& aAddress)
+{
+  gpTimelineEvent listening;
+  listening.kind_ = gpEventKind::Listening;
+  listening.detail_ = aPurpose + " " + aAddress.value_;
+  Write(listening);
+}
+
+void
+gpNode::Write(const gpTimelineEvent& aEvent)
+{
+  eventLog_.Write(aEvent);
+  metrics_
+    .Counter("gypsumpoint_events_total",
+             "Events of the time line by kind",
+             { { "kind", std::string(gpEventKindName(aEvent.kind_)) } })
+    .Add();
+}
+
+void
+gpNode::Send(gpLinkId aLink, gpMessage aMessage)
+{
+  metrics_
+    .Counter("gypsumpoint_messages_total",
+             "Messages sent to other processes by kind",
+             { { "kind", std::string(gpMessageName(aMessage)) } })
+    .Add();
+  links_.Send(aLink, std::move(aMessage));
+}
+
+void
+gpNode::NoteLinkOpened(gpLinkId aLink, const gpPeer& aPeer)
+{
+  peers_.insert_or_assign(aLink, aPeer.incarnation_);
+  gpTimelineEvent event;
+  event.kind_ = gpEventKind::LinkUp;
+  event.peer_ = aPeer.incarnation_;
+  event.detail_ = aPeer.name_;
+  Write(event);
+}
+
+void
+gpNode::NoteLinkLost(gpLinkId aLink, gpErrorCode aReason)
+{
+  gpTimelineEvent event;
+  event.kind_ = gpEventKind::LinkDown;
+  event.detail_ = std::string(gpErrorName(aReason));
+  const auto found = peers_.find(aLink);
+  if (found != peers_.end()) {
+    event.peer_ = found->second;
+    peers_.erase(found);
+  }
+  Write(event);
+}
+
+void
+gpNode::NoteBadInput(gpErrorCode aCode)
+{
+  gpTimelineEvent event;
+  event.kind_ = gpEventKind::BadInput;
+  event.detail_ = std::string(gpErrorName(aCode));
+  Write(event);
+}
+
+gpLinkService::Handlers
+gpNode::WithBadInput(gpLinkService::Handlers aHandlers)
+{
+  aHandlers.badInput_ = [this](gpErrorCode aCode) { NoteBadInput(aCode); };
+  return aHandlers;
+}
+
+void
+gpNode::WakeAt(gpTime aWhen, std::function<void()> aHandler)
+{
+  timers_.Cancel(wake_);
+  wake_ = timers_.Subscribe(aWhen, std::move(aHandler));
+}
+
+std::string
+gpNode::RenderMetrics()
+{
+  const gpLinkCounts counts = links_.GetCounts();
+  const auto set = [this](const char* aName, std::uint64_t aValue) {
+    metrics_.Gauge(aName, "Traffic of all links since the start")
+      .Set(static_cast<double>(aValue));
+  };
+  set("gypsumpoint_link_bytes_sent", counts.bytesSent_);
+  set("gypsumpoint_link_bytes_received", counts.bytesReceived_);
+  set("gypsumpoint_link_frames_sent", counts.framesSent_);
+  set("gypsumpoint_link_frames_received", counts.framesReceived_);
+  set("gypsumpoint_link_messages_sent", counts.messagesSent_);
+  set("gypsumpoint_link_messages_received", counts.messagesReceived_);
+  return metrics_.Render();
+}
--- a/Source/Process/gpProcess.cxx
+++ b/Source/Process/gpProcess.cxx
@@ -1,10 +1,7 @@
 #include "gpProcess.h"
 
-#include <random>
 #include <utility>
 
-#include "gpMessageName.h"
-
 namespace {
 
 constexpr int kOk = 200;
@@ -14,14 +11,6 @@
 /// Pause between two requests for news.
 constexpr gpMillis kNewsPeriod{ 1000 };
 
-gpIncarnation
-DrawIncarnation()
-{
-  std::random_device device;
-  std::uniform_int_distribution<std::uint64_t> pick(1);
-  return gpIncarnation(pick(device));
-}
-
 gpLinkSettings
 MakeLinkSettings(const gpTimings& aTimings)
 {
@@ -31,89 +20,49 @@
   return settings;
 }
 
+gpNodeOptions
+MakeNodeOptions(const gpProcessOptions& aOptions, std::size_t aConnections)
+{
+  gpNodeOptions options;
+  options.role_ = aOptions.role_;
+  options.name_ = aOptions.name_;
+  options.linkListen_ = aOptions.linkListen_;
+  options.linkAdvertise_ = aOptions.linkAdvertise_;
+  options.eventLog_ = aOptions.eventLog_;
+  options.links_ = MakeLinkSettings(aOptions.timings_);
+  options.connections_ = aConnections;
+  return options;
+}
+
 } // namespace
 
 gpProcess::gpProcess(gpProcessOptions aOptions,
                      std::size_t aConnections,
                      Handlers aHandlers)
-  : timers_(loop_)
-  , eventLog_(clock_)
+  : gpNode(MakeNodeOptions(aOptions, aConnections),
+           std::move(aHandlers.links_))
   , http_(loop_, gpHttpLimits{}, std::move(aHandlers.http_))
-  , httpClient_(loop_, aConnections)
   , log_(loop_, timers_, httpClient_, aOptions.logService_)
-  , links_(loop_,
-           timers_,
-           clock_,
-           MakeLinkSettings(aOptions.timings_),
-           WithBadInput(std::move(aHandlers.links_)))
   , streams_(timers_, log_, std::move(aHandlers.streams_))
   , roster_(timers_, log_, streams_)
   , options_(std::move(aOptions))
 {
-  self_.role_ = options_.role_;
-  self_.name_ = options_.name_;
-  self_.incarnation_ = DrawIncarnation();
 }
 
 absl::Status
 gpProcess::Open()
 {
-  absl::Status status = eventLog_.Open(
-    options_.eventLog_, options_.role_, options_.name_, self_.incarnation_);
+  absl::Status status = OpenLinks();
   if (!status.ok()) {
     return status;
   }
-  gpTimelineEvent started;
-  started.kind_ = gpEventKind::ProcessStarted;
-  started.detail_ = GP_VERSION;
-  Write(started);
   LookForNews();
-  return Listen();
-}
-
-absl::Status
-gpProcess::Listen()
-{
-  const auto links = links_.Listen(options_.linkListen_);
-  if (!links.ok()) {
-    return links.status();
-  }
-  const bool hasOther = !options_.linkAdvertise_.value_.empty();
-  self_.address_ = hasOther ? options_.linkAdvertise_ : *links;
-  links_.SetSelf(self_);
   const auto http = http_.Listen(options_.httpListen_);
   if (!http.ok()) {
     return http.status();
   }
-  gpTimelineEvent listening;
-  listening.kind_ = gpEventKind::Listening;
-  listening.detail_ = "links " + links->value_;
-  Write(listening);
-  listening.detail_ = "http " + http->value_;
-  Write(listening);
-  return absl::OkStatus();
-}
-
-void
-gpProcess::Write(const gpTimelineEvent& aEvent)
-{
-  eventLog_.Write(aEvent);
-  metrics_
-    .Counter("gypsumpoint_events_total",
-             "Events of the time line by kind",
-             { { "kind", std::string(gpEventKindName(aEvent.kind_)) } })
-    .Add();
-}
-
-void
-gpProcess::Send(gpLinkId aLink, gpMessage aMessage)
-{
-  metrics_
-    .Counter("gypsumpoint_messages_total",
-             "Messages sent to other processes by kind",
-             { { "kind", std::string(gpMessageName(aMessage)) } })
-    .Add();
-  links_.Send(aLink, std::move(aMessage));
+  NoteListening("http", *http);
+  return status;
 }
 
 void
@@ -139,31 +88,12 @@
 void
 gpProcess::NoteLinkOpened(gpLinkId aLink, const gpPeer& aPeer)
 {
-  peers_.insert_or_assign(aLink, aPeer.incarnation_);
-  gpTimelineEvent event;
-  event.kind_ = gpEventKind::LinkUp;
-  event.peer_ = aPeer.incarnation_;
-  event.detail_ = aPeer.name_;
-  Write(event);
+  gpNode::NoteLinkOpened(aLink, aPeer);
   if (!streams_.IsLogAvailable()) {
     AskForNews(aLink);
   }
 }
 
-void
-gpProcess::NoteLinkLost(gpLinkId aLink, gpErrorCode aReason)
-{
-  gpTimelineEvent event;
-  event.kind_ = gpEventKind::LinkDown;
-  event.detail_ = std::string(gpErrorName(aReason));
-  const auto found = peers_.find(aLink);
-  if (found != peers_.end()) {
-    event.peer_ = found->second;
-    peers_.erase(found);
-  }
-  Write(event);
-}
-
 bool
 gpProcess::HandleNews(gpLinkId aLink, const gpMessage& aMessage)
 {
@@ -209,40 +139,17 @@
 {
   timers_.Subscribe(gpEventLoop::Now() + kNewsPeriod,
                     [this] { LookForNews(); });
-  if (streams_.IsLogAvailable() || peers_.empty()) {
+  if (streams_.IsLogAvailable() || GetPeers().empty()) {
     return;
   }
-  auto next = peers_.upper_bound(askedForNews_);
-  if (next == peers_.end()) {
-    next = peers_.begin();
+  auto next = GetPeers().upper_bound(askedForNews_);
+  if (next == GetPeers().end()) {
+    next = GetPeers().begin();
   }
   askedForNews_ = next->first;
   AskForNews(askedForNews_);
 }
 
-void
-gpProcess::NoteBadInput(gpErrorCode aCode)
-{
-  gpTimelineEvent event;
-  event.kind_ = gpEventKind::BadInput;
-  event.detail_ = std::string(gpErrorName(aCode));
-  Write(event);
-}
-
-gpLinkService::Handlers
-gpProcess::WithBadInput(gpLinkService::Handlers aHandlers)
-{
-  aHandlers.badInput_ = [this](gpErrorCode aCode) { NoteBadInput(aCode); };
-  return aHandlers;
-}
-
-void
-gpProcess::WakeAt(gpTime aWhen, std::function<void()> aHandler)
-{
-  timers_.Cancel(wake_);
-  wake_ = timers_.Subscribe(aWhen, std::move(aHandler));
-}
-
 bool
 gpProcess::AnswerCommon(gpRequestId aRequest,
                         const gpHttpRequest& aHttp,
@@ -259,9 +166,8 @@
     response.status_ = aReady ? kOk : kUnavailable;
     response.body_ = aReady ? R"({"ready":true})" : R"({"ready":false})";
   } else if (aHttp.target_ == "/metrics") {
-    UpdateTrafficMetrics();
     response.contentType_ = "text/plain; version=0.0.4";
-    response.body_ = metrics_.Render();
+    response.body_ = RenderMetrics();
   } else if (aHttp.target_ == "/v1/status") {
     response.body_ = RenderStatus(aStatusFields);
   } else {
@@ -292,7 +198,7 @@
   const gpVersionedConfiguration& configuration = streams_.GetConfiguration();
   return R"({"process":")" + options_.name_ + R"(","role":")" +
          std::string(gpRoleName(options_.role_)) + R"(","incarnation":")" +
-         gpIncarnationText(self_.incarnation_) +
+         gpIncarnationText(GetSelf().incarnation_) +
          R"(","configuration_version":)" +
          std::to_string(configuration.version_.value_) + R"(,"apply_id":")" +
          configuration.applyId_.value_ + R"(","roster_epoch":)" +
@@ -301,19 +207,3 @@
          (streams_.IsLogAvailable() ? "true" : "false") + R"(,"members":)" +
          std::to_string(streams_.GetRoster().members_.size()) + aFields + "}";
 }
-
-void
-gpProcess::UpdateTrafficMetrics()
-{
-  const gpLinkCounts counts = links_.GetCounts();
-  const auto set = [this](const char* aName, std::uint64_t aValue) {
-    metrics_.Gauge(aName, "Traffic of all links since the start")
-      .Set(static_cast<double>(aValue));
-  };
-  set("gypsumpoint_link_bytes_sent", counts.bytesSent_);
-  set("gypsumpoint_link_bytes_received", counts.bytesReceived_);
-  set("gypsumpoint_link_frames_sent", counts.framesSent_);
-  set("gypsumpoint_link_frames_received", counts.framesReceived_);
-  set("gypsumpoint_link_messages_sent", counts.messagesSent_);
-  set("gypsumpoint_link_messages_received", counts.messagesReceived_);
-}
--- a/Source/Wire/gpFrameCodec.cxx
+++ b/Source/Wire/gpFrameCodec.cxx
@@ -12,6 +12,7 @@
 #include "gpWireClaims.h"
 #include "gpWireHello.h"
 #include "gpWireNews.h"
+#include "gpWireRuns.h"
 #include "gpWireStarts.h"
 #include "gpWire_generated.h"
 
--- /dev/null
+++ b/Source/Wire/gpWireRuns.cxx
@@ -0,0 +1,203 @@
+#include "gpWireRuns.h"
+
+#include "gpWireAnswer.h"
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+static_assert(static_cast<int>(gpWire::RunEnd::MAX) ==
+              static_cast<int>(gpRunEnd::Outdated));
+
+namespace {
+
+/// Larger figures come from a faulty peer; sums of these can't overflow.
+constexpr std::uint64_t kMostOfAResource = 1ULL << 40U;
+
+Offset<gpWire::Resources>
+WriteResources(FlatBufferBuilder& aBuilder, const gpResources& aIn)
+{
+  return gpWire::CreateResources(
+    aBuilder, aIn.milliCores_, aIn.memoryMb_, aIn.accelerators_);
+}
+
+bool
+ReadResources(gpWireReader& aReader,
+              const gpWire::Resources* aIn,
+              gpResources& aOut)
+{
+  aOut.milliCores_ = aIn->milli_cores();
+  aOut.memoryMb_ = aIn->memory_mb();
+  aOut.accelerators_ = aIn->accelerators();
+  if (aOut.milliCores_ > kMostOfAResource ||
+      aOut.memoryMb_ > kMostOfAResource ||
+      aOut.accelerators_ > kMostOfAResource) {
+    return aReader.Fail("resources out of range");
+  }
+  return true;
+}
+
+template<typename Texts>
+auto
+WriteTexts(FlatBufferBuilder& aBuilder, const Texts& aTexts)
+{
+  std::vector<Offset<flatbuffers::String>> texts;
+  texts.reserve(aTexts.size());
+  for (const auto& text : aTexts) {
+    texts.push_back(aBuilder.CreateString(text));
+  }
+  return aBuilder.CreateVector(texts);
+}
+
+template<typename Text>
+bool
+ReadTexts(gpWireReader& aReader,
+          const flatbuffers::Vector<Offset<flatbuffers::String>>* aIn,
+          std::vector<Text>& aOut)
+{
+  for (const flatbuffers::String* text : *aIn) {
+    if (!aReader.Read(text, aOut.emplace_back())) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+// Parts of messages; not static, so that the templates of gpWireAnswer.h and
+// gpWireReader.h find them beside the other overloads.
+
+Offset<gpWire::RunId>
+gpWriteWire(FlatBufferBuilder& aBuilder, const gpRunId& aIn)
+{
+  const auto task = aBuilder.CreateString(aIn.task_);
+  return gpWire::CreateRunId(aBuilder, task, aIn.number_);
+}
+
+bool
+gpReadWire(gpWireReader& aReader, const gpWire::RunId* aIn, gpRunId& aOut)
+{
+  aOut.number_ = aIn->number();
+  return aReader.Read(aIn->task(), aOut.task_);
+}
+
+Offset<gpWire::RunOrder>
+gpWriteWire(FlatBufferBuilder& aBuilder, const gpRunOrder& aIn)
+{
+  const auto spec = aBuilder.CreateString(aIn.spec_);
+  const auto needs = WriteResources(aBuilder, aIn.needs_);
+  const auto runs = gpWriteTables(aBuilder, aIn.runs_);
+  return gpWire::CreateRunOrder(aBuilder, spec, needs, runs);
+}
+
+bool
+gpReadWire(gpWireReader& aReader, const gpWire::RunOrder* aIn, gpRunOrder& aOut)
+{
+  return aReader.Read(aIn->spec(), aOut.spec_) &&
+         ReadResources(aReader, aIn->needs(), aOut.needs_) &&
+         aReader.ReadTables(aIn->runs(), aOut.runs_);
+}
+
+Offset<gpWire::RunCancel>
+gpWriteWire(FlatBufferBuilder& aBuilder, const gpRunCancel& aIn)
+{
+  const auto runs = gpWriteTables(aBuilder, aIn.runs_);
+  return gpWire::CreateRunCancel(aBuilder, runs);
+}
+
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::RunCancel* aIn,
+           gpRunCancel& aOut)
+{
+  return aReader.ReadTables(aIn->runs(), aOut.runs_);
+}
+
+Offset<gpWire::RunReport>
+gpWriteWire(FlatBufferBuilder& aBuilder, const gpRunReport& aIn)
+{
+  const auto run = gpWriteWire(aBuilder, aIn.run_);
+  return gpWire::CreateRunReport(
+    aBuilder, run, static_cast<gpWire::RunEnd>(aIn.end_), aIn.time_.count());
+}
+
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::RunReport* aIn,
+           gpRunReport& aOut)
+{
+  return gpReadWire(aReader, aIn->run(), aOut.run_) &&
+         aReader.ReadEnum(aIn->end(), aOut.end_) &&
+         aReader.ReadDuration(aIn->time_us(), aOut.time_);
+}
+
+Offset<gpWire::RunsHeld>
+gpWriteWire(FlatBufferBuilder& aBuilder, const gpRunsHeld& aIn)
+{
+  const auto runs = gpWriteTables(aBuilder, aIn.runs_);
+  return gpWire::CreateRunsHeld(aBuilder, runs);
+}
+
+bool
+gpReadWire(gpWireReader& aReader, const gpWire::RunsHeld* aIn, gpRunsHeld& aOut)
+{
+  return aReader.ReadTables(aIn->runs(), aOut.runs_);
+}
+
+Offset<gpWire::TargetNews>
+gpWriteWire(FlatBufferBuilder& aBuilder, const gpTargetNews& aIn)
+{
+  const auto service = aBuilder.CreateString(aIn.service_.value_);
+  const auto dataCentre = aBuilder.CreateString(aIn.dataCentre_.value_);
+  const auto labels = WriteTexts(aBuilder, aIn.labels_);
+  const auto capacity = WriteResources(aBuilder, aIn.capacity_);
+  return gpWire::CreateTargetNews(
+    aBuilder, service, dataCentre, labels, capacity, aIn.takesWork_);
+}
+
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::TargetNews* aIn,
+           gpTargetNews& aOut)
+{
+  aOut.takesWork_ = aIn->takes_work();
+  return aReader.Read(aIn->service(), aOut.service_) &&
+         aReader.Read(aIn->data_centre(), aOut.dataCentre_) &&
+         ReadTexts(aReader, aIn->labels(), aOut.labels_) &&
+         ReadResources(aReader, aIn->capacity(), aOut.capacity_);
+}
+
+Offset<gpWire::RoomReport>
+gpWriteWire(FlatBufferBuilder& aBuilder, const gpRoomReport& aIn)
+{
+  const auto free = WriteResources(aBuilder, aIn.free_);
+  return gpWire::CreateRoomReport(aBuilder, free, aIn.runsSeen_);
+}
+
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::RoomReport* aIn,
+           gpRoomReport& aOut)
+{
+  aOut.runsSeen_ = aIn->runs_seen();
+  return ReadResources(aReader, aIn->free(), aOut.free_);
+}
+
+Offset<gpWire::EntryAddresses>
+gpWriteWire(FlatBufferBuilder& aBuilder, const gpEntryAddresses& aIn)
+{
+  std::vector<std::string> texts;
+  texts.reserve(aIn.entries_.size());
+  for (const gpAddress& entry : aIn.entries_) {
+    texts.push_back(entry.value_);
+  }
+  return gpWire::CreateEntryAddresses(aBuilder, WriteTexts(aBuilder, texts));
+}
+
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::EntryAddresses* aIn,
+           gpEntryAddresses& aOut)
+{
+  return ReadTexts(aReader, aIn->entries(), aOut.entries_);
+}
--- /dev/null
+++ b/Source/Wire/gpWireRuns.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "gpRunMessages.h"
+#include "gpWireReader.h"
+
+/** \brief The messages about runs. For .cxx files of this folder.
+ */
+
+flatbuffers::Offset<gpWire::RunOrder>
+gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpRunOrder& aIn);
+bool
+gpReadWire(gpWireReader& aReader, const gpWire::RunOrder* aIn, gpRunOrder& aOut);
+
+flatbuffers::Offset<gpWire::RunCancel>
+gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpRunCancel& aIn);
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::RunCancel* aIn,
+           gpRunCancel& aOut);
+
+flatbuffers::Offset<gpWire::RunReport>
+gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpRunReport& aIn);
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::RunReport* aIn,
+           gpRunReport& aOut);
+
+flatbuffers::Offset<gpWire::RunsHeld>
+gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpRunsHeld& aIn);
+bool
+gpReadWire(gpWireReader& aReader, const gpWire::RunsHeld* aIn, gpRunsHeld& aOut);
+
+flatbuffers::Offset<gpWire::TargetNews>
+gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpTargetNews& aIn);
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::TargetNews* aIn,
+           gpTargetNews& aOut);
+
+flatbuffers::Offset<gpWire::RoomReport>
+gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpRoomReport& aIn);
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::RoomReport* aIn,
+           gpRoomReport& aOut);
+
+flatbuffers::Offset<gpWire::EntryAddresses>
+gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder,
+            const gpEntryAddresses& aIn);
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::EntryAddresses* aIn,
+           gpEntryAddresses& aOut);
--- a/Source/Wire/gpWire_generated.h
+++ b/Source/Wire/gpWire_generated.h
@@ -110,6 +110,33 @@
 struct Announce;
 struct AnnounceBuilder;
 
+struct Resources;
+struct ResourcesBuilder;
+
+struct RunId;
+struct RunIdBuilder;
+
+struct RunOrder;
+struct RunOrderBuilder;
+
+struct RunCancel;
+struct RunCancelBuilder;
+
+struct RunReport;
+struct RunReportBuilder;
+
+struct RunsHeld;
+struct RunsHeldBuilder;
+
+struct TargetNews;
+struct TargetNewsBuilder;
+
+struct RoomReport;
+struct RoomReportBuilder;
+
+struct EntryAddresses;
+struct EntryAddressesBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -449,6 +476,51 @@
   return EnumNamesAttemptState()[index];
 }
 
+enum class RunEnd : uint8_t {
+  Done = 0,
+  Failed = 1,
+  Stopped = 2,
+  NoRoom = 3,
+  Leaving = 4,
+  Unhealthy = 5,
+  Outdated = 6,
+  MIN = Done,
+  MAX = Outdated
+};
+
+inline const RunEnd (&EnumValuesRunEnd())[7] {
+  static const RunEnd values[] = {
+    RunEnd::Done,
+    RunEnd::Failed,
+    RunEnd::Stopped,
+    RunEnd::NoRoom,
+    RunEnd::Leaving,
+    RunEnd::Unhealthy,
+    RunEnd::Outdated
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesRunEnd() {
+  static const char * const names[8] = {
+    "Done",
+    "Failed",
+    "Stopped",
+    "NoRoom",
+    "Leaving",
+    "Unhealthy",
+    "Outdated",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameRunEnd(RunEnd e) {
+  if (flatbuffers::IsOutRange(e, RunEnd::Done, RunEnd::Outdated)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesRunEnd()[index];
+}
+
 enum class Answer : uint8_t {
   NONE = 0,
   Complete = 1,
@@ -519,11 +591,18 @@
   RosterNews = 18,
   Announce = 19,
   NewsRequest = 20,
+  RunOrder = 21,
+  RunCancel = 22,
+  RunReport = 23,
+  RunsHeld = 24,
+  TargetNews = 25,
+  RoomReport = 26,
+  EntryAddresses = 27,
   MIN = NONE,
-  MAX = NewsRequest
+  MAX = EntryAddresses
 };
 
-inline const Message (&EnumValuesMessage())[21] {
+inline const Message (&EnumValuesMessage())[28] {
   static const Message values[] = {
     Message::NONE,
     Message::ClaimRequest,
@@ -545,13 +624,20 @@
     Message::ConfigurationNews,
     Message::RosterNews,
     Message::Announce,
-    Message::NewsRequest
+    Message::NewsRequest,
+    Message::RunOrder,
+    Message::RunCancel,
+    Message::RunReport,
+    Message::RunsHeld,
+    Message::TargetNews,
+    Message::RoomReport,
+    Message::EntryAddresses
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[22] = {
+  static const char * const names[29] = {
     "NONE",
     "ClaimRequest",
     "ClaimReply",
@@ -573,13 +659,20 @@
     "RosterNews",
     "Announce",
     "NewsRequest",
+    "RunOrder",
+    "RunCancel",
+    "RunReport",
+    "RunsHeld",
+    "TargetNews",
+    "RoomReport",
+    "EntryAddresses",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::NewsRequest)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::EntryAddresses)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -668,6 +761,34 @@
   static const Message enum_value = Message::NewsRequest;
 };
 
+template<> struct MessageTraits<gpWire::RunOrder> {
+  static const Message enum_value = Message::RunOrder;
+};
+
+template<> struct MessageTraits<gpWire::RunCancel> {
+  static const Message enum_value = Message::RunCancel;
+};
+
+template<> struct MessageTraits<gpWire::RunReport> {
+  static const Message enum_value = Message::RunReport;
+};
+
+template<> struct MessageTraits<gpWire::RunsHeld> {
+  static const Message enum_value = Message::RunsHeld;
+};
+
+template<> struct MessageTraits<gpWire::TargetNews> {
+  static const Message enum_value = Message::TargetNews;
+};
+
+template<> struct MessageTraits<gpWire::RoomReport> {
+  static const Message enum_value = Message::RoomReport;
+};
+
+template<> struct MessageTraits<gpWire::EntryAddresses> {
+  static const Message enum_value = Message::EntryAddresses;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -3164,6 +3285,651 @@
   static auto constexpr Create = CreateAnnounce;
 };
 
+struct Resources FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ResourcesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MILLI_CORES = 4,
+    VT_MEMORY_MB = 6,
+    VT_ACCELERATORS = 8
+  };
+  uint64_t milli_cores() const {
+    return GetField<uint64_t>(VT_MILLI_CORES, 0);
+  }
+  uint64_t memory_mb() const {
+    return GetField<uint64_t>(VT_MEMORY_MB, 0);
+  }
+  uint64_t accelerators() const {
+    return GetField<uint64_t>(VT_ACCELERATORS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_MILLI_CORES, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MEMORY_MB, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ACCELERATORS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct ResourcesBuilder {
+  typedef Resources Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_milli_cores(uint64_t milli_cores) {
+    fbb_.AddElement<uint64_t>(Resources::VT_MILLI_CORES, milli_cores, 0);
+  }
+  void add_memory_mb(uint64_t memory_mb) {
+    fbb_.AddElement<uint64_t>(Resources::VT_MEMORY_MB, memory_mb, 0);
+  }
+  void add_accelerators(uint64_t accelerators) {
+    fbb_.AddElement<uint64_t>(Resources::VT_ACCELERATORS, accelerators, 0);
+  }
+  explicit ResourcesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Resources> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Resources>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Resources> CreateResources(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t milli_cores = 0,
+    uint64_t memory_mb = 0,
+    uint64_t accelerators = 0) {
+  ResourcesBuilder builder_(_fbb);
+  builder_.add_accelerators(accelerators);
+  builder_.add_memory_mb(memory_mb);
+  builder_.add_milli_cores(milli_cores);
+  return builder_.Finish();
+}
+
+struct Resources::Traits {
+  using type = Resources;
+  static auto constexpr Create = CreateResources;
+};
+
+struct RunId FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunIdBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK = 4,
+    VT_NUMBER = 6
+  };
+  const flatbuffers::String *task() const {
+    return GetPointer<const flatbuffers::String *>(VT_TASK);
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_TASK) &&
+           verifier.VerifyString(task()) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct RunIdBuilder {
+  typedef RunId Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_task(flatbuffers::Offset<flatbuffers::String> task) {
+    fbb_.AddOffset(RunId::VT_TASK, task);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(RunId::VT_NUMBER, number, 0);
+  }
+  explicit RunIdBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RunId> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RunId>(end);
+    fbb_.Required(o, RunId::VT_TASK);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RunId> CreateRunId(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> task = 0,
+    uint64_t number = 0) {
+  RunIdBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_task(task);
+  return builder_.Finish();
+}
+
+struct RunId::Traits {
+  using type = RunId;
+  static auto constexpr Create = CreateRunId;
+};
+
+inline flatbuffers::Offset<RunId> CreateRunIdDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *task = nullptr,
+    uint64_t number = 0) {
+  auto task__ = task ? _fbb.CreateString(task) : 0;
+  return gpWire::CreateRunId(
+      _fbb,
+      task__,
+      number);
+}
+
+struct RunOrder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunOrderBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SPEC = 4,
+    VT_NEEDS = 6,
+    VT_RUNS = 8
+  };
+  const flatbuffers::String *spec() const {
+    return GetPointer<const flatbuffers::String *>(VT_SPEC);
+  }
+  const gpWire::Resources *needs() const {
+    return GetPointer<const gpWire::Resources *>(VT_NEEDS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>> *runs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>> *>(VT_RUNS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SPEC) &&
+           verifier.VerifyString(spec()) &&
+           VerifyOffsetRequired(verifier, VT_NEEDS) &&
+           verifier.VerifyTable(needs()) &&
+           VerifyOffsetRequired(verifier, VT_RUNS) &&
+           verifier.VerifyVector(runs()) &&
+           verifier.VerifyVectorOfTables(runs()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RunOrderBuilder {
+  typedef RunOrder Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_spec(flatbuffers::Offset<flatbuffers::String> spec) {
+    fbb_.AddOffset(RunOrder::VT_SPEC, spec);
+  }
+  void add_needs(flatbuffers::Offset<gpWire::Resources> needs) {
+    fbb_.AddOffset(RunOrder::VT_NEEDS, needs);
+  }
+  void add_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>>> runs) {
+    fbb_.AddOffset(RunOrder::VT_RUNS, runs);
+  }
+  explicit RunOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RunOrder> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RunOrder>(end);
+    fbb_.Required(o, RunOrder::VT_SPEC);
+    fbb_.Required(o, RunOrder::VT_NEEDS);
+    fbb_.Required(o, RunOrder::VT_RUNS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RunOrder> CreateRunOrder(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> spec = 0,
+    flatbuffers::Offset<gpWire::Resources> needs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>>> runs = 0) {
+  RunOrderBuilder builder_(_fbb);
+  builder_.add_runs(runs);
+  builder_.add_needs(needs);
+  builder_.add_spec(spec);
+  return builder_.Finish();
+}
+
+struct RunOrder::Traits {
+  using type = RunOrder;
+  static auto constexpr Create = CreateRunOrder;
+};
+
+inline flatbuffers::Offset<RunOrder> CreateRunOrderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *spec = nullptr,
+    flatbuffers::Offset<gpWire::Resources> needs = 0,
+    const std::vector<flatbuffers::Offset<gpWire::RunId>> *runs = nullptr) {
+  auto spec__ = spec ? _fbb.CreateString(spec) : 0;
+  auto runs__ = runs ? _fbb.CreateVector<flatbuffers::Offset<gpWire::RunId>>(*runs) : 0;
+  return gpWire::CreateRunOrder(
+      _fbb,
+      spec__,
+      needs,
+      runs__);
+}
+
+struct RunCancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunCancelBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RUNS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>> *runs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>> *>(VT_RUNS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_RUNS) &&
+           verifier.VerifyVector(runs()) &&
+           verifier.VerifyVectorOfTables(runs()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RunCancelBuilder {
+  typedef RunCancel Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>>> runs) {
+    fbb_.AddOffset(RunCancel::VT_RUNS, runs);
+  }
+  explicit RunCancelBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RunCancel> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RunCancel>(end);
+    fbb_.Required(o, RunCancel::VT_RUNS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RunCancel> CreateRunCancel(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>>> runs = 0) {
+  RunCancelBuilder builder_(_fbb);
+  builder_.add_runs(runs);
+  return builder_.Finish();
+}
+
+struct RunCancel::Traits {
+  using type = RunCancel;
+  static auto constexpr Create = CreateRunCancel;
+};
+
+inline flatbuffers::Offset<RunCancel> CreateRunCancelDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<gpWire::RunId>> *runs = nullptr) {
+  auto runs__ = runs ? _fbb.CreateVector<flatbuffers::Offset<gpWire::RunId>>(*runs) : 0;
+  return gpWire::CreateRunCancel(
+      _fbb,
+      runs__);
+}
+
+struct RunReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RUN = 4,
+    VT_END = 6,
+    VT_TIME_US = 8
+  };
+  const gpWire::RunId *run() const {
+    return GetPointer<const gpWire::RunId *>(VT_RUN);
+  }
+  gpWire::RunEnd end() const {
+    return static_cast<gpWire::RunEnd>(GetField<uint8_t>(VT_END, 0));
+  }
+  int64_t time_us() const {
+    return GetField<int64_t>(VT_TIME_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_RUN) &&
+           verifier.VerifyTable(run()) &&
+           VerifyField<uint8_t>(verifier, VT_END, 1) &&
+           VerifyField<int64_t>(verifier, VT_TIME_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct RunReportBuilder {
+  typedef RunReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_run(flatbuffers::Offset<gpWire::RunId> run) {
+    fbb_.AddOffset(RunReport::VT_RUN, run);
+  }
+  void add_end(gpWire::RunEnd end) {
+    fbb_.AddElement<uint8_t>(RunReport::VT_END, static_cast<uint8_t>(end), 0);
+  }
+  void add_time_us(int64_t time_us) {
+    fbb_.AddElement<int64_t>(RunReport::VT_TIME_US, time_us, 0);
+  }
+  explicit RunReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RunReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RunReport>(end);
+    fbb_.Required(o, RunReport::VT_RUN);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RunReport> CreateRunReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<gpWire::RunId> run = 0,
+    gpWire::RunEnd end = gpWire::RunEnd::Done,
+    int64_t time_us = 0) {
+  RunReportBuilder builder_(_fbb);
+  builder_.add_time_us(time_us);
+  builder_.add_run(run);
+  builder_.add_end(end);
+  return builder_.Finish();
+}
+
+struct RunReport::Traits {
+  using type = RunReport;
+  static auto constexpr Create = CreateRunReport;
+};
+
+struct RunsHeld FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunsHeldBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RUNS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>> *runs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>> *>(VT_RUNS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_RUNS) &&
+           verifier.VerifyVector(runs()) &&
+           verifier.VerifyVectorOfTables(runs()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RunsHeldBuilder {
+  typedef RunsHeld Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>>> runs) {
+    fbb_.AddOffset(RunsHeld::VT_RUNS, runs);
+  }
+  explicit RunsHeldBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RunsHeld> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RunsHeld>(end);
+    fbb_.Required(o, RunsHeld::VT_RUNS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RunsHeld> CreateRunsHeld(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>>> runs = 0) {
+  RunsHeldBuilder builder_(_fbb);
+  builder_.add_runs(runs);
+  return builder_.Finish();
+}
+
+struct RunsHeld::Traits {
+  using type = RunsHeld;
+  static auto constexpr Create = CreateRunsHeld;
+};
+
+inline flatbuffers::Offset<RunsHeld> CreateRunsHeldDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<gpWire::RunId>> *runs = nullptr) {
+  auto runs__ = runs ? _fbb.CreateVector<flatbuffers::Offset<gpWire::RunId>>(*runs) : 0;
+  return gpWire::CreateRunsHeld(
+      _fbb,
+      runs__);
+}
+
+struct TargetNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TargetNewsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_DATA_CENTRE = 6,
+    VT_LABELS = 8,
+    VT_CAPACITY = 10,
+    VT_TAKES_WORK = 12
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *labels() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LABELS);
+  }
+  const gpWire::Resources *capacity() const {
+    return GetPointer<const gpWire::Resources *>(VT_CAPACITY);
+  }
+  bool takes_work() const {
+    return GetField<uint8_t>(VT_TAKES_WORK, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffsetRequired(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           VerifyOffsetRequired(verifier, VT_LABELS) &&
+           verifier.VerifyVector(labels()) &&
+           verifier.VerifyVectorOfStrings(labels()) &&
+           VerifyOffsetRequired(verifier, VT_CAPACITY) &&
+           verifier.VerifyTable(capacity()) &&
+           VerifyField<uint8_t>(verifier, VT_TAKES_WORK, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct TargetNewsBuilder {
+  typedef TargetNews Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(TargetNews::VT_SERVICE, service);
+  }
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(TargetNews::VT_DATA_CENTRE, data_centre);
+  }
+  void add_labels(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> labels) {
+    fbb_.AddOffset(TargetNews::VT_LABELS, labels);
+  }
+  void add_capacity(flatbuffers::Offset<gpWire::Resources> capacity) {
+    fbb_.AddOffset(TargetNews::VT_CAPACITY, capacity);
+  }
+  void add_takes_work(bool takes_work) {
+    fbb_.AddElement<uint8_t>(TargetNews::VT_TAKES_WORK, static_cast<uint8_t>(takes_work), 0);
+  }
+  explicit TargetNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TargetNews> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TargetNews>(end);
+    fbb_.Required(o, TargetNews::VT_SERVICE);
+    fbb_.Required(o, TargetNews::VT_DATA_CENTRE);
+    fbb_.Required(o, TargetNews::VT_LABELS);
+    fbb_.Required(o, TargetNews::VT_CAPACITY);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TargetNews> CreateTargetNews(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> labels = 0,
+    flatbuffers::Offset<gpWire::Resources> capacity = 0,
+    bool takes_work = false) {
+  TargetNewsBuilder builder_(_fbb);
+  builder_.add_capacity(capacity);
+  builder_.add_labels(labels);
+  builder_.add_data_centre(data_centre);
+  builder_.add_service(service);
+  builder_.add_takes_work(takes_work);
+  return builder_.Finish();
+}
+
+struct TargetNews::Traits {
+  using type = TargetNews;
+  static auto constexpr Create = CreateTargetNews;
+};
+
+inline flatbuffers::Offset<TargetNews> CreateTargetNewsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *data_centre = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *labels = nullptr,
+    flatbuffers::Offset<gpWire::Resources> capacity = 0,
+    bool takes_work = false) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  auto labels__ = labels ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*labels) : 0;
+  return gpWire::CreateTargetNews(
+      _fbb,
+      service__,
+      data_centre__,
+      labels__,
+      capacity,
+      takes_work);
+}
+
+struct RoomReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RoomReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FREE = 4,
+    VT_RUNS_SEEN = 6
+  };
+  const gpWire::Resources *free() const {
+    return GetPointer<const gpWire::Resources *>(VT_FREE);
+  }
+  uint64_t runs_seen() const {
+    return GetField<uint64_t>(VT_RUNS_SEEN, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_FREE) &&
+           verifier.VerifyTable(free()) &&
+           VerifyField<uint64_t>(verifier, VT_RUNS_SEEN, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct RoomReportBuilder {
+  typedef RoomReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_free(flatbuffers::Offset<gpWire::Resources> free) {
+    fbb_.AddOffset(RoomReport::VT_FREE, free);
+  }
+  void add_runs_seen(uint64_t runs_seen) {
+    fbb_.AddElement<uint64_t>(RoomReport::VT_RUNS_SEEN, runs_seen, 0);
+  }
+  explicit RoomReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RoomReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RoomReport>(end);
+    fbb_.Required(o, RoomReport::VT_FREE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RoomReport> CreateRoomReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<gpWire::Resources> free = 0,
+    uint64_t runs_seen = 0) {
+  RoomReportBuilder builder_(_fbb);
+  builder_.add_runs_seen(runs_seen);
+  builder_.add_free(free);
+  return builder_.Finish();
+}
+
+struct RoomReport::Traits {
+  using type = RoomReport;
+  static auto constexpr Create = CreateRoomReport;
+};
+
+struct EntryAddresses FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EntryAddressesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENTRIES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ENTRIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfStrings(entries()) &&
+           verifier.EndTable();
+  }
+};
+
+struct EntryAddressesBuilder {
+  typedef EntryAddresses Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> entries) {
+    fbb_.AddOffset(EntryAddresses::VT_ENTRIES, entries);
+  }
+  explicit EntryAddressesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EntryAddresses> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EntryAddresses>(end);
+    fbb_.Required(o, EntryAddresses::VT_ENTRIES);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EntryAddresses> CreateEntryAddresses(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> entries = 0) {
+  EntryAddressesBuilder builder_(_fbb);
+  builder_.add_entries(entries);
+  return builder_.Finish();
+}
+
+struct EntryAddresses::Traits {
+  using type = EntryAddresses;
+  static auto constexpr Create = CreateEntryAddresses;
+};
+
+inline flatbuffers::Offset<EntryAddresses> CreateEntryAddressesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *entries = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*entries) : 0;
+  return gpWire::CreateEntryAddresses(
+      _fbb,
+      entries__);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   struct Traits;
@@ -3519,6 +4285,34 @@
       auto ptr = reinterpret_cast<const gpWire::NewsRequest *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::RunOrder: {
+      auto ptr = reinterpret_cast<const gpWire::RunOrder *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::RunCancel: {
+      auto ptr = reinterpret_cast<const gpWire::RunCancel *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::RunReport: {
+      auto ptr = reinterpret_cast<const gpWire::RunReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::RunsHeld: {
+      auto ptr = reinterpret_cast<const gpWire::RunsHeld *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::TargetNews: {
+      auto ptr = reinterpret_cast<const gpWire::TargetNews *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::RoomReport: {
+      auto ptr = reinterpret_cast<const gpWire::RoomReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::EntryAddresses: {
+      auto ptr = reinterpret_cast<const gpWire::EntryAddresses *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
