--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -253,6 +253,12 @@
                 });
 }
 
+void
+gpLeaseEntryProcess::OnEntriesFound(std::vector<gpAddress> aEntries)
+{
+  Reduce(gpEntriesFound{ std::move(aEntries) });
+}
+
 std::string
 gpLeaseEntryProcess::StatusFields() const
 {
--- a/Source/Entry/gpLeaseEntryProcess.h
+++ b/Source/Entry/gpLeaseEntryProcess.h
@@ -27,6 +27,7 @@
   /// Runs until the entry was asked to end and has done so.
   void Run() { loop_.Run(); }
   void CloseServers(std::function<void()> aClosed) override;
+  void OnEntriesFound(std::vector<gpAddress> aEntries) override;
 
 private:
   void OnRequest(gpRequestId aRequest, const gpHttpRequest& aHttp);
--- a/Source/Guard/gpLeaseGuardProcess.cxx
+++ b/Source/Guard/gpLeaseGuardProcess.cxx
@@ -93,6 +93,12 @@
   std::visit([this](auto& aCall) { Reduce(std::move(aCall)); }, *call);
 }
 
+void
+gpLeaseGuardProcess::OnEntriesFound(std::vector<gpAddress> aEntries)
+{
+  Reduce(gpEntriesFound{ std::move(aEntries) });
+}
+
 std::string
 gpLeaseGuardProcess::StatusFields() const
 {
--- a/Source/Guard/main.cxx
+++ b/Source/Guard/main.cxx
@@ -30,6 +30,7 @@
     std::cerr << "gypsumpoint-guard: " << gpErrorText(status) << "\n";
     return kExitFailure;
   }
+  process.WatchSettings(aFile, aText);
   process.Run();
   return kExitOk;
 }
--- a/Source/Model/gpTimelineEvent.cxx
+++ b/Source/Model/gpTimelineEvent.cxx
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 38> kKindNames = {
+constexpr std::array<std::string_view, 40> kKindNames = {
   "process_started",
   "listening",
   "process_stopping",
@@ -44,6 +44,8 @@
   "log_unavailable",
   "log_available",
   "bad_input",
+  "settings_reloaded",
+  "settings_rejected",
 };
 
 } // namespace
--- a/Source/Model/gpTimelineEvent.h
+++ b/Source/Model/gpTimelineEvent.h
@@ -48,6 +48,8 @@
   LogUnavailable,
   LogAvailable,
   BadInput,
+  SettingsReloaded,
+  SettingsRejected,
 };
 
 /** \class gpTimelineEvent
--- a/Source/Process/gpLeaseNode.cxx
+++ b/Source/Process/gpLeaseNode.cxx
@@ -1,5 +1,6 @@
 #include "gpLeaseNode.h"
 
+#include "gpLeaseSettingsFile.h"
 #include "gpLeaseTimings.h"
 
 namespace {
@@ -65,6 +66,31 @@
   return status;
 }
 
+void
+gpLeaseNode::WatchSettings(const std::string& aFile, const std::string& aText)
+{
+  settingsFile_ = aFile;
+  watch_.emplace(
+    loop_, timers_, aFile, aText, [this](const std::string& aNewText) {
+      OnSettings(aNewText);
+    });
+}
+
+void
+gpLeaseNode::OnSettings(const std::string& aText)
+{
+  const auto settings =
+    gpParseLeaseSettings(settingsFile_, aText, GetSelf().role_);
+  gpTimelineEvent event;
+  event.kind_ = settings.ok() ? gpEventKind::SettingsReloaded
+                              : gpEventKind::SettingsRejected;
+  event.detail_ = settings.ok() ? "" : gpErrorText(settings.status());
+  Write(event);
+  if (settings.ok()) {
+    OnEntriesFound(settings->entries_);
+  }
+}
+
 bool
 gpLeaseNode::Carry(gpLeaseEffect& aEffect, const std::function<void()>& aWake)
 {
--- a/Source/Process/gpLeaseNode.h
+++ b/Source/Process/gpLeaseNode.h
@@ -9,6 +9,7 @@
 #include "gpLeaseEvent.h"
 #include "gpLeaseSettings.h"
 #include "gpNode.h"
+#include "gpSettingsWatch.h"
 
 /** \class gpLeaseNode
  * \brief What entries and guards for best-effort jobs have in common beside
@@ -47,6 +48,12 @@
   /// Notes the health of the store in the time line.
   void NoteStoreHealth(const absl::Status& aStatus);
 
+  /// Takes over what may change in the settings file while the process runs:
+  /// the entries. Settings that can't be read are noted, and change nothing.
+  void WatchSettings(const std::string& aFile, const std::string& aText);
+
+  /// Called when the settings name other entries.
+  virtual void OnEntriesFound(std::vector<gpAddress> aEntries) = 0;
   /// Called before a node that was asked to end does so, to close its servers.
   virtual void CloseServers(std::function<void()> aClosed) = 0;
 
@@ -59,10 +66,13 @@
   void OnStatusRequest(gpRequestId aRequest, const gpHttpRequest& aHttp);
   std::string RenderStatus() const;
   void StopGracefully();
+  void OnSettings(const std::string& aText);
 
   gpLeaseSettings settings_;
   StatusHandlers statusHandlers_;
   std::optional<gpConfigurationNews> news_;
+  std::optional<gpSettingsWatch> watch_;
+  std::string settingsFile_;
   bool stopping_ = false;
 };
 
--- a/Source/Runtime/gpEventLoop.cxx
+++ b/Source/Runtime/gpEventLoop.cxx
@@ -48,6 +48,13 @@
     });
 }
 
+void
+gpEventLoop::OnReload(std::function<void()> aHandler)
+{
+  context_->reloadSignals_.add(SIGHUP);
+  context_->AwaitReload(std::move(aHandler));
+}
+
 gpTime
 gpEventLoop::Now()
 {
--- a/Source/Runtime/gpEventLoop.h
+++ b/Source/Runtime/gpEventLoop.h
@@ -27,6 +27,8 @@
   void Post(std::function<void()> aTask);
   /// Calls the handler once, on SIGTERM or SIGINT.
   void OnTerminate(std::function<void()> aHandler);
+  /// Calls the handler on each SIGHUP.
+  void OnReload(std::function<void()> aHandler);
   /// The local monotonic time.
   static gpTime Now();
 
--- a/Source/Runtime/gpEventLoopContext.h
+++ b/Source/Runtime/gpEventLoopContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <utility>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -19,4 +20,18 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     work_{ io_.get_executor() };
   boost::asio::signal_set signals_{ io_ };
+  boost::asio::signal_set reloadSignals_{ io_ };
+
+  /// Calls the handler on each reload signal from now on.
+  void AwaitReload(std::function<void()> aHandler)
+  {
+    reloadSignals_.async_wait(
+      [this, handler = std::move(aHandler)](
+        const boost::system::error_code& aError, int /*aSignal*/) {
+        if (!aError) {
+          handler();
+          AwaitReload(handler);
+        }
+      });
+  }
 };
