--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -208,7 +208,9 @@
            job,
            "queue " + queue->name_.value_ + " version " +
              std::to_string(queues_.version_.value_) + " tasks " +
-             std::to_string(job.tasks_.size()) + " wait " +
+             std::to_string(job.tasks_.size()) + " estimate " +
+             std::to_string(job.GetChain().count()) + " ms patience " +
+             std::to_string(patience.count()) + " ms wait " +
              std::to_string(wait.count()) + " ms");
 }
 
@@ -577,10 +579,16 @@
     gpLeaseRecord& job = *jobs_.Find(sequence);
     const gpLeaseTask& task = job.tasks_[index];
     const gpJobStep& step = job.GetStep(task);
-    const auto guard = board_.Choose(job.queue_.service_,
-                                     step.needs_,
-                                     step.estimate_,
-                                     task.avoid_,
+    const auto waited =
+      std::chrono::duration_cast<gpMillis>(now_ - job.arrivedAt_);
+    const auto guard = board_.Choose({ job.queue_.service_,
+                                       step.needs_,
+                                       step.estimate_,
+                                       job.queue_.stretch_,
+                                       job.queue_.allowance_ - waited,
+                                       std::chrono::duration_cast<gpMillis>(
+                                         job.deadline_ - now_),
+                                       task.avoid_ },
                                      now_);
     if (guard.has_value()) {
       SendRun(job, index, *guard);
--- a/Source/Lease/gpTargetBoard.cxx
+++ b/Source/Lease/gpTargetBoard.cxx
@@ -16,6 +16,14 @@
 constexpr gpMillis kOverduePause{ 200 };
 /// What a target in another data centre must gain to be preferred.
 constexpr double kOtherDataCentreMs = 1.0;
+/// Tasks may take so many times their estimate.
+constexpr double kEstimateMargin = 1.5;
+/// The way to the target and back, and the time until it starts.
+constexpr double kPlacementMarginMs = 10.0;
+/// What a target of twice the usual speed counts for as one that's kept free.
+constexpr double kSlownessMs = 10.0;
+/// What the choice of a target counts for on which the task would be late.
+constexpr double kLateMs = 1e4;
 /// What a guard counts for that is to be avoided.
 constexpr double kAvoidMs = 1e6;
 
@@ -24,6 +32,23 @@
 /// Pause before a target that was ejected is tried again.
 constexpr gpMillis kProbeAfter{ 1000 };
 
+/// What a target costs that ends the task in time: little, and least on the
+/// slowest. Any other costs what it's expected to take.
+double
+CostOf(const gpTargetView& aView, const gpPlacementNeed& aNeed)
+{
+  const auto estimate = static_cast<double>(aNeed.estimate_.count());
+  const auto allowance = static_cast<double>(aNeed.allowance_.count());
+  const double excess =
+    (aView.slowness_ - aNeed.stretch_) * estimate * kEstimateMargin;
+  const double longest = aView.slowness_ * estimate * kEstimateMargin;
+  const auto patience = static_cast<double>(aNeed.patience_.count());
+  const bool isInTime = excess + kPlacementMarginMs <= allowance &&
+                        longest + kPlacementMarginMs <= patience;
+  return isInTime ? -kSlownessMs * aView.slowness_
+                  : kLateMs + estimate * aView.slowness_;
+}
+
 gpEjectionSettings
 EjectionSettings()
 {
@@ -99,22 +124,18 @@
 }
 
 std::optional<gpIncarnation>
-gpTargetBoard::Choose(const gpServiceName& aService,
-                      const gpResources& aNeeds,
-                      gpMillis aEstimate,
-                      const std::set<gpIncarnation>& aAvoid,
-                      gpTime aNow) const
+gpTargetBoard::Choose(const gpPlacementNeed& aNeed, gpTime aNow) const
 {
   std::optional<gpIncarnation> best;
   double bestCost = 0;
   for (const auto& [guard, view] : views_) {
-    if (view.news_.service_ != aService || !MayStart(view, aNow) ||
-        !view.GetFree().Covers(aNeeds)) {
+    if (view.news_.service_ != aNeed.service_ || !MayStart(view, aNow) ||
+        !view.GetFree().Covers(aNeed.needs_)) {
       continue;
     }
-    double cost = static_cast<double>(aEstimate.count()) * view.slowness_;
+    double cost = CostOf(view, aNeed);
     cost += view.news_.dataCentre_ == dataCentre_ ? 0.0 : kOtherDataCentreMs;
-    cost += aAvoid.contains(guard) ? kAvoidMs : 0.0;
+    cost += aNeed.avoid_.contains(guard) ? kAvoidMs : 0.0;
     if (!best.has_value() || cost < bestCost) {
       best = guard;
       bestCost = cost;
--- a/Source/Lease/gpTargetBoard.h
+++ b/Source/Lease/gpTargetBoard.h
@@ -41,6 +41,25 @@
   bool IsStalled(gpTime aNow) const;
 };
 
+/** \class gpPlacementNeed
+ * \brief What a waiting task asks of a target.
+ */
+struct gpPlacementNeed
+{
+  gpServiceName service_;
+  gpResources needs_;
+  gpMillis estimate_{ 0 };
+  /// The task ends in time if it takes no more than so many times its length
+  /// on a target of usual speed ...
+  double stretch_ = 1.0;
+  /// ... and so much more, less what it has waited already.
+  gpMillis allowance_{ 0 };
+  /// The caller doesn't wait longer.
+  gpMillis patience_{ 0 };
+  /// Guards to take only if there is no other.
+  std::set<gpIncarnation> avoid_;
+};
+
 /** \class gpTargetBoard
  * \brief The targets that an entry can send runs to, and how they did so far.
  */
@@ -61,12 +80,10 @@
   gpTargetView* Find(gpIncarnation aGuard);
   const std::map<gpIncarnation, gpTargetView>& GetAll() const { return views_; }
 
-  /// The target with room that is expected to end such a task first; not set
-  /// if none has room. aAvoid are guards to take only if there is no other.
-  std::optional<gpIncarnation> Choose(const gpServiceName& aService,
-                                      const gpResources& aNeeds,
-                                      gpMillis aEstimate,
-                                      const std::set<gpIncarnation>& aAvoid,
+  /// The slowest target with room on which the task is expected to end in time,
+  /// so that faster ones stay free for tasks that need them; if there is none,
+  /// the fastest with room. Not set if none has room.
+  std::optional<gpIncarnation> Choose(const gpPlacementNeed& aNeed,
                                       gpTime aNow) const;
   /// A run was sent.
   void NoteSent(gpIncarnation aGuard,
