Lease: Learn the speed of targets as a geometric mean

Cause: estimates are off by 40 %, so the mean of the last ten ratios moved by a factor of two; ship-quotes were sent to slow targets.

--- a/Source/Lease/gpTargetBoard.cxx
+++ b/Source/Lease/gpTargetBoard.cxx
@@ -1,11 +1,13 @@
 #include "gpTargetBoard.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace {
 
-/// Weight of the newest run in the average of a target's slowness.
-constexpr double kNewestWeight = 0.1;
+/// Least weight of the newest run in the mean of a target's slowness. Estimates
+/// are off by up to a half, and alike for all tasks of a job.
+constexpr double kNewestWeight = 0.05;
 constexpr double kLeastSlowness = 0.1;
 constexpr double kMostSlowness = 20.0;
 /// Estimates under this say little about speed.
@@ -16,8 +18,11 @@
 constexpr gpMillis kOverduePause{ 200 };
 /// What a target in another data centre must gain to be preferred.
 constexpr double kOtherDataCentreMs = 1.0;
-/// Tasks may take so many times their estimate.
+/// Tasks may take so many times their estimate, by its error and the error in
+/// what is known of the target.
 constexpr double kEstimateMargin = 1.5;
+/// The same where being wrong loses the whole job.
+constexpr double kPatienceMargin = 2.0;
 /// The way to the target and back, and the time until it starts.
 constexpr double kPlacementMarginMs = 10.0;
 /// What a target of twice the usual speed counts for as one that's kept free.
@@ -41,7 +46,7 @@
   const auto allowance = static_cast<double>(aNeed.allowance_.count());
   const double excess =
     (aView.slowness_ - aNeed.stretch_) * estimate * kEstimateMargin;
-  const double longest = aView.slowness_ * estimate * kEstimateMargin;
+  const double longest = aView.slowness_ * estimate * kPatienceMargin;
   const auto patience = static_cast<double>(aNeed.patience_.count());
   const bool isInTime = excess + kPlacementMarginMs <= allowance &&
                         longest + kPlacementMarginMs <= patience;
@@ -189,7 +194,9 @@
                        static_cast<double>(gpMicros(aEstimate).count()),
                      kLeastSlowness,
                      kMostSlowness);
-        view->slowness_ += kNewestWeight * (ratio - view->slowness_);
+        const double weight =
+          std::max(kNewestWeight, 1.0 / (++view->runsMeasured_ + 1));
+        view->slowness_ *= std::pow(ratio / view->slowness_, weight);
       }
       return;
     }
--- a/Source/Lease/gpTargetBoard.h
+++ b/Source/Lease/gpTargetBoard.h
@@ -27,8 +27,11 @@
   /// Needs of the ordered runs that no report takes into account yet, each with
   /// its number in the order of sending.
   std::deque<std::pair<std::uint64_t, gpResources>> unreported_;
-  /// Run time over estimate, averaged; under 1 is faster than estimated.
+  /// Run time over estimate, as a geometric mean; under 1 is faster than
+  /// estimated.
   double slowness_ = 1.0;
+  /// Runs that the mean is made of.
+  std::uint32_t runsMeasured_ = 0;
   gpTargetHealth health_;
   /// The job whose failure counted last against the target.
   std::string lastFailedJob_;
