--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -181,6 +181,9 @@
   gpLeaseRecord record;
   record.request_ = aEvent.request_;
   record.job_ = aEvent.job_;
+  for (gpJobStep& step : record.job_.steps_) {
+    step.estimate_ = lengths_.Predict(queue->name_, step.estimate_);
+  }
   record.queue_ = *queue;
   record.arrivedAt_ = now_;
   gpMillis patience =
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -11,6 +11,7 @@
 #include "gpEntryFinder.h"
 #include "gpLeaseEvent.h"
 #include "gpLeaseJobTable.h"
+#include "gpLengthEstimator.h"
 #include "gpTargetBoard.h"
 
 /** \class gpLeaseEntryOptions
@@ -127,6 +128,7 @@
   gpEntryFinder finder_;
   gpTargetBoard board_;
   gpLeaseJobTable jobs_;
+  gpLengthEstimator lengths_;
   /// Guards by link, and links that other entries dialed.
   std::map<gpLinkId, gpIncarnation> guards_;
   std::set<gpLinkId> peers_;
