--- a/Source/Lease/gpTargetBoard.cxx
+++ b/Source/Lease/gpTargetBoard.cxx
@@ -22,7 +22,7 @@
 /// what is known of the target.
 constexpr double kEstimateMargin = 1.5;
 /// The same where being wrong loses the whole job.
-constexpr double kPatienceMargin = 1.8;
+constexpr double kPatienceMargin = 3.0;
 /// The way to the target and back, and the time until it starts.
 constexpr double kPlacementMarginMs = 10.0;
 /// What a target of twice the usual speed counts for as one that's kept free.
