--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -15,7 +15,7 @@
 /// Pause between looks at a target without runs.
 constexpr gpMillis kIdleLook{ 500 };
 /// Entries that were not told anything else learn of free room so late at most.
-constexpr gpMillis kRoomPeriod{ 10 };
+constexpr gpMillis kRoomPeriod{ 4 };
 /// Period of wake-ups, also for noticing that the process was suspended.
 constexpr gpMillis kTick{ 50 };
 
--- a/Source/Lease/gpTargetBoard.cxx
+++ b/Source/Lease/gpTargetBoard.cxx
@@ -25,7 +25,9 @@
 constexpr double kPatienceMargin = 3.0;
 /// The way to the target and back, and the time until it starts.
 constexpr double kPlacementMarginMs = 10.0;
-/// What a target of twice the usual speed counts for as one that's kept free.
+/// Targets of one class differ in speed by no more than this factor.
+constexpr double kClassWidth = 1.5;
+/// What one class of speed counts for in keeping fast targets free.
 constexpr double kSlownessMs = 10.0;
 /// What the choice of a target counts for on which the task would be late.
 constexpr double kLateMs = 1e4;
@@ -37,6 +39,14 @@
 /// Pause before a target that was ejected is tried again.
 constexpr gpMillis kProbeAfter{ 1000 };
 
+/// Targets of about the same speed are alike, so that what was measured by
+/// chance doesn't make all entries choose the same one.
+double
+SpeedClass(const gpTargetView& aView)
+{
+  return std::round(std::log(aView.slowness_) / std::log(kClassWidth));
+}
+
 /// What a target costs that ends the task in time: little, and least on the
 /// slowest. Any other costs what it's expected to take.
 double
@@ -50,7 +60,7 @@
   const auto patience = static_cast<double>(aNeed.patience_.count());
   const bool isInTime = excess + kPlacementMarginMs <= allowance &&
                         longest + kPlacementMarginMs <= patience;
-  return isInTime ? -kSlownessMs * aView.slowness_
+  return isInTime ? -kSlownessMs * SpeedClass(aView)
                   : kLateMs + estimate * aView.slowness_;
 }
 
