--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -34,7 +34,6 @@
   now_ = aEvent.now_;
   CheckPause();
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
-  ServeQueue();
   Look();
   TellEntries();
   ContinueShutdown();
@@ -67,7 +66,6 @@
                 " ms, closing links");
   for (const auto& [link, entry] : std::exchange(links_, {})) {
     out_.Add(gpCloseLink{ link });
-    queue_.RemoveOf(link);
     finder_.OnLost(link, now_);
   }
   for (const auto& [id, run] : runs_.GetAll()) {
@@ -111,7 +109,6 @@
   }
   const gpIncarnation entry = found->second.entry_;
   links_.erase(found);
-  queue_.RemoveOf(aEvent.link_);
   for (const gpRunId& id : runs_.ListOf(entry)) {
     Stop(*runs_.Find(id));
   }
@@ -137,7 +134,7 @@
 gpLeaseGuardReducer::OnMessage(gpLinkId aLink, const gpRunOrder& aMessage)
 {
   for (const gpRunId& run : aMessage.runs_) {
-    Take({ aLink, run, aMessage.spec_, aMessage.needs_, now_ });
+    StartOne(aLink, aMessage, run);
   }
 }
 
@@ -146,10 +143,6 @@
 {
   const gpIncarnation entry = links_.at(aLink).entry_;
   for (const gpRunId& id : aMessage.runs_) {
-    if (queue_.Remove(aLink, id)) {
-      Refuse(aLink, id, gpRunEnd::NoRoom);
-      continue;
-    }
     gpGuardRun* run = runs_.Find(id);
     if (run != nullptr && run->owner_ == entry) {
       Stop(*run);
@@ -165,71 +158,39 @@
 }
 
 void
-gpLeaseGuardReducer::Take(gpQueuedOrder aOrder)
+gpLeaseGuardReducer::StartOne(gpLinkId aLink,
+                              const gpRunOrder& aOrder,
+                              const gpRunId& aRun)
 {
-  const gpLinkId link = aOrder.link_;
-  const gpRunId run = aOrder.run_;
-  ++links_.at(link).runsSeen_;
+  EntryLink& link = links_.at(aLink);
+  ++link.runsSeen_;
   if (!TakesWork()) {
     const bool isLeaving = shutdownEnd_ != gpTime::max() ||
                            (target_.IsKnown() && target_.IsLeaving());
-    Refuse(link, run, isLeaving ? gpRunEnd::Leaving : gpRunEnd::Unhealthy);
+    Refuse(aLink, aRun, isLeaving ? gpRunEnd::Leaving : gpRunEnd::Unhealthy);
     return;
   }
-  if (queue_.IsEmpty() && runs_.GetFree().Covers(aOrder.needs_)) {
-    Start(aOrder);
+  if (!runs_.GetFree().Covers(aOrder.needs_)) {
+    Refuse(aLink, aRun, gpRunEnd::NoRoom);
     return;
   }
-  if (!queue_.Add(std::move(aOrder))) {
-    Refuse(link, run, gpRunEnd::NoRoom);
-  }
-}
-
-void
-gpLeaseGuardReducer::Start(const gpQueuedOrder& aOrder)
-{
   gpGuardRun run;
-  run.id_ = aOrder.run_;
-  run.owner_ = links_.at(aOrder.link_).entry_;
+  run.id_ = aRun;
+  run.owner_ = link.entry_;
   run.needs_ = aOrder.needs_;
   run.orderedAt_ = now_;
   if (!runs_.Add(std::move(run))) {
-    Refuse(aOrder.link_, aOrder.run_, gpRunEnd::Outdated);
+    Refuse(aLink, aRun, gpRunEnd::Outdated);
     return;
   }
-  WriteRun(gpEventKind::TaskAdmitted, aOrder.run_, "");
+  WriteRun(gpEventKind::TaskAdmitted, aRun, "");
   out_.Add(gpStartRun{ target_.Get().id_,
-                       aOrder.run_,
+                       aRun,
                        aOrder.spec_,
                        target_.GetFence(),
                        target_.ExtendLease(now_) });
 }
 
-void
-gpLeaseGuardReducer::ServeQueue()
-{
-  if (!TakesWork()) {
-    for (const gpQueuedOrder& order : queue_.TakeAll()) {
-      Refuse(order.link_, order.run_, gpRunEnd::Leaving);
-    }
-    return;
-  }
-  while (const auto order = queue_.TakeNext(runs_.GetFree())) {
-    Start(*order);
-  }
-  for (const gpQueuedOrder& order : queue_.TakeExpired(now_)) {
-    Refuse(order.link_, order.run_, gpRunEnd::NoRoom);
-  }
-}
-
-gpResources
-gpLeaseGuardReducer::GetRoom() const
-{
-  gpResources room = runs_.GetFree();
-  room.Take(queue_.GetNeeds());
-  return room;
-}
-
 void
 gpLeaseGuardReducer::Refuse(gpLinkId aLink,
                             const gpRunId& aRun,
@@ -495,7 +456,7 @@
     news.labels_ = target_.Get().labels_;
     news.capacity_ = target_.Get().capacity_;
   }
-  const gpResources free = GetRoom();
+  const gpResources free = runs_.GetFree();
   const bool isTime = now_ >= nextTellAt_;
   for (auto& [link, entry] : links_) {
     const bool isFirst = !std::exchange(entry.told_, true);
@@ -532,15 +493,12 @@
   if (!looking_ && target_.IsKnown()) {
     when = std::min(when, std::max(nextLookAt_, now_ + gpMillis(1)));
   }
-  const gpResources free = GetRoom();
+  const gpResources free = runs_.GetFree();
   for (const auto& [link, entry] : links_) {
     if (free != entry.toldFree_) {
       when = std::min(when, std::max(nextTellAt_, now_ + gpMillis(1)));
     }
   }
-  if (!queue_.IsEmpty()) {
-    when = std::min(when, std::max(queue_.GetExpiry(), now_ + gpMillis(1)));
-  }
   if (wakeAt_ <= now_ || when < wakeAt_) {
     wakeAt_ = when;
     out_.Add(gpWakeAt{ when });
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -8,7 +8,6 @@
 #include "gpEntryFinder.h"
 #include "gpLeaseEvent.h"
 #include "gpLinkBook.h"
-#include "gpOrderQueue.h"
 #include "gpRunTable.h"
 #include "gpTargetSession.h"
 
@@ -88,13 +87,7 @@
   /// Closes all links if the process was not scheduled for too long.
   void CheckPause();
   bool TakesWork() const;
-  /// Starts a run, lets it wait for room, or refuses it.
-  void Take(gpQueuedOrder aOrder);
-  void Start(const gpQueuedOrder& aOrder);
-  /// Starts what has room now, and refuses what has waited too long.
-  void ServeQueue();
-  /// What is free at the target, less what waits for it.
-  gpResources GetRoom() const;
+  void StartOne(gpLinkId aLink, const gpRunOrder& aOrder, const gpRunId& aRun);
   /// Stops a run that may be at work, or makes sure that it never begins.
   void Stop(gpGuardRun& aRun);
   void SendStop(const gpGuardRun& aRun);
@@ -121,7 +114,6 @@
   std::map<gpLinkId, EntryLink> links_;
   gpTargetSession target_;
   gpRunTable runs_;
-  gpOrderQueue queue_;
   /// Runs that the target shows but this incarnation hasn't started.
   std::set<gpRunId> strangers_;
   std::uint64_t seenEnds_ = 0;
