Lease: Let a task wait for a fast target if a slow one can't end it in time

Cause: with the fast targets full, ship-quotes were sent to slow ones, where a quarter of them ran past the caller's patience; that lost the job and the room it took.

--- a/Source/Lease/gpTargetBoard.cxx
+++ b/Source/Lease/gpTargetBoard.cxx
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace {
 
@@ -18,6 +19,9 @@
 constexpr gpMillis kOverduePause{ 200 };
 /// What a target in another data centre must gain to be preferred.
 constexpr double kOtherDataCentreMs = 1.0;
+/// A task waits for a faster target if it's expected to take this part of the
+/// caller's patience.
+constexpr double kLostCauseMargin = 1.2;
 /// Tasks may take so many times their estimate, by its error and the error in
 /// what is known of the target.
 constexpr double kEstimateMargin = 1.5;
@@ -138,14 +142,30 @@
          !aView.IsStalled(aNow);
 }
 
+double
+gpTargetBoard::LongestSlowness(const gpPlacementNeed& aNeed, gpTime aNow) const
+{
+  double fastest = std::numeric_limits<double>::infinity();
+  for (const auto& [guard, view] : views_) {
+    if (view.news_.service_ == aNeed.service_ && MayStart(view, aNow)) {
+      fastest = std::min(fastest, view.slowness_);
+    }
+  }
+  const double limit = static_cast<double>(aNeed.patience_.count()) /
+                       (static_cast<double>(aNeed.estimate_.count() + 1) *
+                        kLostCauseMargin);
+  return std::max(limit, fastest * kClassWidth);
+}
+
 std::optional<gpIncarnation>
 gpTargetBoard::Choose(const gpPlacementNeed& aNeed, gpTime aNow) const
 {
   std::optional<gpIncarnation> best;
   double bestCost = 0;
+  const double limit = LongestSlowness(aNeed, aNow);
   for (const auto& [guard, view] : views_) {
     if (view.news_.service_ != aNeed.service_ || !MayStart(view, aNow) ||
-        !view.GetFree().Covers(aNeed.needs_)) {
+        !view.GetFree().Covers(aNeed.needs_) || view.slowness_ > limit) {
       continue;
     }
     double cost = CostOf(view, aNeed);
--- a/Source/Lease/gpTargetBoard.h
+++ b/Source/Lease/gpTargetBoard.h
@@ -110,6 +110,9 @@
   double GetCapacity(const gpServiceName& aService) const;
 
 private:
+  /// The slowest target on which the task may still end before its caller
+  /// leaves; at least that of the fastest ones.
+  double LongestSlowness(const gpPlacementNeed& aNeed, gpTime aNow) const;
   bool MayStart(const gpTargetView& aView, gpTime aNow) const;
 
   gpDataCentreName dataCentre_;
