Lease: Count only the work that comes before a job for its predicted wait

Cause: ship-quotes that wait for a fast target made stock-checks look overdue, so they were refused with room on slow targets.

--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -130,17 +130,21 @@
 }
 
 gpMillis
-gpLeaseEntryReducer::PredictWait(const gpQueue& aQueue) const
+gpLeaseEntryReducer::PredictWait(const gpServiceName& aService,
+                                 gpTime aStartBy) const
 {
   double work = 0;
   for (const auto& [startBy, sequence, task] : jobs_.GetWaiting()) {
+    if (startBy > aStartBy) {
+      break;
+    }
     const gpLeaseRecord& job = jobs_.GetAll().at(sequence);
     const gpJobStep& step = job.GetStep(job.tasks_[task]);
     work += static_cast<double>(step.needs_.milliCores_) *
             static_cast<double>(step.estimate_.count());
   }
   const double entries = static_cast<double>(finder_.GetLinks().size() + 1);
-  const double capacity = board_.GetCapacity(aQueue.service_) / entries;
+  const double capacity = board_.GetCapacity(aService) / entries;
   if (work == 0 || capacity == 0) {
     return gpMillis(0);
   }
@@ -198,7 +202,7 @@
   const gpMillis startBy =
     std::max(kShortestStartBy, objective / kStartByPart);
   record.startBy_ = now_ + startBy;
-  const gpMillis wait = PredictWait(*queue);
+  const gpMillis wait = PredictWait(queue->service_, record.startBy_);
   if (wait > startBy) {
     Refuse(aEvent,
            { gpLeaseOutcome::NotRun,
@@ -504,8 +508,9 @@
     EndJob(aJob,
            { gpLeaseOutcome::NotRun,
              gpLeaseReason::Overloaded,
-             std::clamp(
-               PredictWait(aJob.queue_), kShortestRetry, kLongestRetry) });
+             std::clamp(PredictWait(aJob.queue_.service_, gpTime::max()),
+                        kShortestRetry,
+                        kLongestRetry) });
     return;
   }
   if (now_ >= aJob.deadline_) {
