--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -1,6 +1,7 @@
 #include "gpLeaseEntryReducer.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -130,27 +131,43 @@
 }
 
 gpMillis
-gpLeaseEntryReducer::PredictWait(const gpServiceName& aService,
-                                 gpTime aStartBy) const
+gpLeaseEntryReducer::PredictWait(const gpLeaseRecord& aJob) const
 {
   double work = 0;
-  for (const auto& [startBy, sequence, task] : jobs_.GetWaiting()) {
-    if (startBy > aStartBy) {
-      break;
+  for (const auto& key : jobs_.GetWaiting()) {
+    const gpLeaseRecord& job = jobs_.GetAll().at(key.job_);
+    if (job.needsFast_ != aJob.needsFast_ || job.startBy_ > aJob.startBy_) {
+      continue;
     }
-    const gpLeaseRecord& job = jobs_.GetAll().at(sequence);
-    const gpJobStep& step = job.GetStep(job.tasks_[task]);
+    const gpJobStep& step = job.GetStep(job.tasks_[key.task_]);
     work += static_cast<double>(step.needs_.milliCores_) *
             static_cast<double>(step.estimate_.count());
   }
   const double entries = static_cast<double>(finder_.GetLinks().size() + 1);
-  const double capacity = board_.GetCapacity(aService) / entries;
+  const double capacity = board_.GetCapacity(aJob.queue_.service_) / entries;
   if (work == 0 || capacity == 0) {
     return gpMillis(0);
   }
   return gpMillis(std::llround(work / capacity));
 }
 
+gpPlacementNeed
+gpLeaseEntryReducer::NeedOf(const gpLeaseRecord& aJob,
+                            const gpJobStep& aStep) const
+{
+  const auto waited =
+    std::chrono::duration_cast<gpMillis>(now_ - aJob.arrivedAt_);
+  gpPlacementNeed need;
+  need.service_ = aJob.queue_.service_;
+  need.needs_ = aStep.needs_;
+  need.estimate_ = aStep.estimate_;
+  need.stretch_ = aJob.queue_.stretch_;
+  need.allowance_ = aJob.queue_.allowance_ - waited;
+  need.patience_ =
+    std::chrono::duration_cast<gpMillis>(aJob.deadline_ - now_);
+  return need;
+}
+
 void
 gpLeaseEntryReducer::Refuse(const gpLeaseJobSubmitted& aEvent,
                             const gpLeaseAnswer& aAnswer)
@@ -202,7 +219,8 @@
   const gpMillis startBy =
     std::max(kShortestStartBy, objective / kStartByPart);
   record.startBy_ = now_ + startBy;
-  const gpMillis wait = PredictWait(queue->service_, record.startBy_);
+  record.needsFast_ = board_.NeedsFast(NeedOf(record, record.job_.steps_[0]), now_);
+  const gpMillis wait = PredictWait(record);
   if (wait > startBy) {
     Refuse(aEvent,
            { gpLeaseOutcome::NotRun,
@@ -508,9 +526,7 @@
     EndJob(aJob,
            { gpLeaseOutcome::NotRun,
              gpLeaseReason::Overloaded,
-             std::clamp(PredictWait(aJob.queue_.service_, gpTime::max()),
-                        kShortestRetry,
-                        kLongestRetry) });
+             std::clamp(PredictWait(aJob), kShortestRetry, kLongestRetry) });
     return;
   }
   if (now_ >= aJob.deadline_) {
@@ -576,32 +592,25 @@
 void
 gpLeaseEntryReducer::Dispatch()
 {
-  int misses = 0;
+  // One count for tasks that need a fast target, one for the others.
+  std::array<int, 2> misses{};
   std::uint64_t missedJob = 0;
   auto next = jobs_.GetWaiting().begin();
-  while (next != jobs_.GetWaiting().end() && misses < kMostMisses) {
-    const auto [startBy, sequence, index] = *next++;
-    if (sequence == missedJob) {
+  while (next != jobs_.GetWaiting().end()) {
+    const auto [hasChoice, startBy, sequence, index] = *next++;
+    int& missed = misses.at(hasChoice ? 1 : 0);
+    if (sequence == missedJob || missed >= kMostMisses) {
       continue;
     }
     gpLeaseRecord& job = *jobs_.Find(sequence);
     const gpLeaseTask& task = job.tasks_[index];
-    const gpJobStep& step = job.GetStep(task);
-    const auto waited =
-      std::chrono::duration_cast<gpMillis>(now_ - job.arrivedAt_);
-    const auto guard = board_.Choose({ job.queue_.service_,
-                                       step.needs_,
-                                       step.estimate_,
-                                       job.queue_.stretch_,
-                                       job.queue_.allowance_ - waited,
-                                       std::chrono::duration_cast<gpMillis>(
-                                         job.deadline_ - now_),
-                                       task.avoid_ },
-                                     now_);
+    gpPlacementNeed need = NeedOf(job, job.GetStep(task));
+    need.avoid_ = task.avoid_;
+    const auto guard = board_.Choose(need, now_);
     if (guard.has_value()) {
       SendRun(job, index, *guard);
     } else {
-      ++misses;
+      ++missed;
       missedJob = sequence;
     }
   }
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -84,9 +84,10 @@
   /// Why the job is not taken in; not set if it is.
   std::optional<gpLeaseAnswer> FindRefusal(const gpLeaseJob& aJob,
                                            const gpQueue* aQueue) const;
-  /// How long a job would wait for room that has to start by that time, going
-  /// by the work that comes before it.
-  gpMillis PredictWait(const gpServiceName& aService, gpTime aStartBy) const;
+  /// How long a job would wait for room, going by the work that comes before
+  /// it; that of other kinds of target doesn't count.
+  gpMillis PredictWait(const gpLeaseRecord& aJob) const;
+  gpPlacementNeed NeedOf(const gpLeaseRecord& aJob, const gpJobStep& aStep) const;
   void Refuse(const gpLeaseJobSubmitted& aEvent, const gpLeaseAnswer& aAnswer);
   /// Answers the caller, stops what runs and forgets the job.
   void EndJob(gpLeaseRecord& aJob, const gpLeaseAnswer& aAnswer);
--- a/Source/Lease/gpLeaseJobTable.h
+++ b/Source/Lease/gpLeaseJobTable.h
@@ -6,7 +6,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -60,6 +59,8 @@
   gpTime objective_;
   /// If no task was sent by then, the job is refused.
   gpTime startBy_;
+  /// Its tasks end in time only on fast targets.
+  bool needsFast_ = false;
   /// Runs that were sent and weren't refused: 0 means that nothing has run.
   std::uint32_t begun_ = 0;
   std::vector<gpLeaseTask> tasks_;
@@ -80,8 +81,19 @@
 class gpLeaseJobTable
 {
 public:
-  /// Orders waiting tasks: whose job has to start first comes first.
-  using WaitingKey = std::tuple<gpTime, std::uint64_t, std::size_t>;
+  /// Orders waiting tasks: those that need a fast target come first, as others
+  /// have a choice; among them, whose job has to start first.
+  struct WaitingKey
+  {
+    bool hasChoice_ = true;
+    gpTime startBy_;
+    std::uint64_t job_ = 0;
+    std::size_t task_ = 0;
+
+    // A false positive of clang-tidy 14, see gpStrongType.h.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
+    auto operator<=>(const WaitingKey&) const = default;
+  };
 
   /// Takes a job in; its first steps wait for room.
   gpLeaseRecord& Add(gpLeaseRecord aRecord);
@@ -112,7 +124,7 @@
 private:
   WaitingKey KeyOf(const gpLeaseRecord& aJob, std::size_t aTask) const
   {
-    return { aJob.startBy_, aJob.sequence_, aTask };
+    return { !aJob.needsFast_, aJob.startBy_, aJob.sequence_, aTask };
   }
 
   std::map<std::uint64_t, gpLeaseRecord> jobs_;
--- a/Source/Lease/gpTargetBoard.cxx
+++ b/Source/Lease/gpTargetBoard.cxx
@@ -51,21 +51,30 @@
   return std::round(std::log(aView.slowness_) / std::log(kClassWidth));
 }
 
+/// Whether a target so slow ends the task within its objective, and far within
+/// the caller's patience.
+bool
+IsInTime(const gpPlacementNeed& aNeed, double aSlowness)
+{
+  const auto estimate = static_cast<double>(aNeed.estimate_.count());
+  const auto allowance = static_cast<double>(aNeed.allowance_.count());
+  const auto patience = static_cast<double>(aNeed.patience_.count());
+  const double excess =
+    (aSlowness - aNeed.stretch_) * estimate * kEstimateMargin;
+  const double longest = aSlowness * estimate * kPatienceMargin;
+  return excess + kPlacementMarginMs <= allowance &&
+         longest + kPlacementMarginMs <= patience;
+}
+
 /// What a target costs that ends the task in time: little, and least on the
 /// slowest. Any other costs what it's expected to take.
 double
 CostOf(const gpTargetView& aView, const gpPlacementNeed& aNeed)
 {
   const auto estimate = static_cast<double>(aNeed.estimate_.count());
-  const auto allowance = static_cast<double>(aNeed.allowance_.count());
-  const double excess =
-    (aView.slowness_ - aNeed.stretch_) * estimate * kEstimateMargin;
-  const double longest = aView.slowness_ * estimate * kPatienceMargin;
-  const auto patience = static_cast<double>(aNeed.patience_.count());
-  const bool isInTime = excess + kPlacementMarginMs <= allowance &&
-                        longest + kPlacementMarginMs <= patience;
-  return isInTime ? -kSlownessMs * SpeedClass(aView)
-                  : kLateMs + estimate * aView.slowness_;
+  return IsInTime(aNeed, aView.slowness_)
+           ? -kSlownessMs * SpeedClass(aView)
+           : kLateMs + estimate * aView.slowness_;
 }
 
 gpEjectionSettings
@@ -142,6 +151,29 @@
          !aView.IsStalled(aNow);
 }
 
+double
+gpTargetBoard::UsualSlowness(const gpServiceName& aService, gpTime aNow) const
+{
+  std::vector<double> all;
+  for (const auto& [guard, view] : views_) {
+    if (view.news_.service_ == aService && MayStart(view, aNow)) {
+      all.push_back(view.slowness_);
+    }
+  }
+  if (all.empty()) {
+    return 1.0;
+  }
+  const auto middle = all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2);
+  std::nth_element(all.begin(), middle, all.end());
+  return *middle;
+}
+
+bool
+gpTargetBoard::NeedsFast(const gpPlacementNeed& aNeed, gpTime aNow) const
+{
+  return !IsInTime(aNeed, UsualSlowness(aNeed.service_, aNow));
+}
+
 double
 gpTargetBoard::LongestSlowness(const gpPlacementNeed& aNeed, gpTime aNow) const
 {
--- a/Source/Lease/gpTargetBoard.h
+++ b/Source/Lease/gpTargetBoard.h
@@ -88,6 +88,8 @@
   /// the fastest with room. Not set if none has room.
   std::optional<gpIncarnation> Choose(const gpPlacementNeed& aNeed,
                                       gpTime aNow) const;
+  /// Whether the task ends in time on fast targets only.
+  bool NeedsFast(const gpPlacementNeed& aNeed, gpTime aNow) const;
   /// A run was sent.
   void NoteSent(gpIncarnation aGuard,
                 const gpRunId& aRun,
@@ -110,6 +112,8 @@
   double GetCapacity(const gpServiceName& aService) const;
 
 private:
+  /// The median over the targets that may be given work.
+  double UsualSlowness(const gpServiceName& aService, gpTime aNow) const;
   /// The slowest target on which the task may still end before its caller
   /// leaves; at least that of the fastest ones.
   double LongestSlowness(const gpPlacementNeed& aNeed, gpTime aNow) const;
