Lease: Order waiting jobs by least slack

Cause: the longest ship-quotes came last, as their objective is the longest, and could not end any more once they were sent.

--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -31,6 +31,8 @@
 /// speed by over two.
 constexpr double kRecallFactor = 4.0;
 constexpr gpMillis kRecallPause{ 150 };
+/// A job is due so many times its expected length before its caller leaves.
+constexpr double kLengthMargin = 1.5;
 /// Waiting tasks without room that are looked at before the others wait too.
 constexpr int kMostMisses = 8;
 /// Added to a run number when a target has seen a higher one, in ms.
@@ -136,7 +138,7 @@
   double work = 0;
   for (const auto& key : jobs_.GetWaiting()) {
     const gpLeaseRecord& job = jobs_.GetAll().at(key.job_);
-    if (job.needsFast_ != aJob.needsFast_ || job.startBy_ > aJob.startBy_) {
+    if (job.needsFast_ != aJob.needsFast_ || job.dueAt_ > aJob.dueAt_) {
       continue;
     }
     const gpJobStep& step = job.GetStep(job.tasks_[key.task_]);
@@ -219,6 +221,10 @@
   const gpMillis startBy =
     std::max(kShortestStartBy, objective / kStartByPart);
   record.startBy_ = now_ + startBy;
+  // Long jobs have to start soon, or their caller has left.
+  record.dueAt_ = std::min(
+    record.startBy_,
+    record.deadline_ - Scaled(record.GetChain(), kLengthMargin));
   record.needsFast_ = board_.NeedsFast(NeedOf(record, record.job_.steps_[0]), now_);
   const gpMillis wait = PredictWait(record);
   if (wait > startBy) {
@@ -597,7 +603,7 @@
   std::uint64_t missedJob = 0;
   auto next = jobs_.GetWaiting().begin();
   while (next != jobs_.GetWaiting().end()) {
-    const auto [hasChoice, startBy, sequence, index] = *next++;
+    const auto [hasChoice, dueAt, sequence, index] = *next++;
     int& missed = misses.at(hasChoice ? 1 : 0);
     if (sequence == missedJob || missed >= kMostMisses) {
       continue;
--- a/Source/Lease/gpLeaseJobTable.h
+++ b/Source/Lease/gpLeaseJobTable.h
@@ -59,6 +59,8 @@
   gpTime objective_;
   /// If no task was sent by then, the job is refused.
   gpTime startBy_;
+  /// Its place among the jobs that wait: when it should have started.
+  gpTime dueAt_;
   /// Its tasks end in time only on fast targets.
   bool needsFast_ = false;
   /// Runs that were sent and weren't refused: 0 means that nothing has run.
@@ -82,11 +84,11 @@
 {
 public:
   /// Orders waiting tasks: those that need a fast target come first, as others
-  /// have a choice; among them, whose job has to start first.
+  /// have a choice; among them, whose job is due first.
   struct WaitingKey
   {
     bool hasChoice_ = true;
-    gpTime startBy_;
+    gpTime dueAt_;
     std::uint64_t job_ = 0;
     std::size_t task_ = 0;
 
@@ -124,7 +126,7 @@
 private:
   WaitingKey KeyOf(const gpLeaseRecord& aJob, std::size_t aTask) const
   {
-    return { !aJob.needsFast_, aJob.startBy_, aJob.sequence_, aTask };
+    return { !aJob.needsFast_, aJob.dueAt_, aJob.sequence_, aTask };
   }
 
   std::map<std::uint64_t, gpLeaseRecord> jobs_;
