--- a/Source/Configuration/gpLeaseSettingsFile.cxx
+++ b/Source/Configuration/gpLeaseSettingsFile.cxx
@@ -60,7 +60,8 @@
   aRoot.Text("name", aSettings.name_, kNonEmptyRule, kRequired);
   gpJsonObject site = aRoot.Object("site");
   site.Text("region", aSettings.site_.region_, kNonEmptyRule, kRequired);
-  site.Text("data_centre", aSettings.site_.dataCentre_, kNonEmptyRule, kRequired);
+  site.Text(
+    "data_centre", aSettings.site_.dataCentre_, kNonEmptyRule, kRequired);
   site.Finish();
   ReadAddress(
     aRoot.Object("links"), "listen", kListenRule, aSettings.linkListen_);
--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -28,24 +28,20 @@
   : gpLeaseNode(
       aSettings,
       gpRole::Entry,
-      gpMakeLeaseLinkHandlers(*this,
-                              [this](auto aInput) {
-                                using Input = decltype(aInput);
-                                if constexpr (std::is_same_v<Input,
-                                                             gpLinkOpened>) {
-                                  OnLinkOpened(aInput);
-                                } else if constexpr (std::is_same_v<
-                                                       Input,
-                                                       gpLinkLost>) {
-                                  OnLinkLost(aInput);
-                                } else if constexpr (std::is_same_v<
-                                                       Input,
-                                                       gpMessageReceived>) {
-                                  OnMessage(aInput);
-                                } else {
-                                  Reduce(std::move(aInput));
-                                }
-                              }),
+      gpMakeLeaseLinkHandlers(
+        *this,
+        [this](auto aInput) {
+          using Input = decltype(aInput);
+          if constexpr (std::is_same_v<Input, gpLinkOpened>) {
+            OnLinkOpened(aInput);
+          } else if constexpr (std::is_same_v<Input, gpLinkLost>) {
+            OnLinkLost(aInput);
+          } else if constexpr (std::is_same_v<Input, gpMessageReceived>) {
+            OnMessage(aInput);
+          } else {
+            Reduce(std::move(aInput));
+          }
+        }),
       { [this] { return reducer_->GetStatus().ready_; },
         [this] { return StatusFields(); } })
   , settings_(aSettings)
@@ -66,12 +62,11 @@
       gpStoreTopic::Configuration,
       { [this](const gpStoreRecord& aRecord) { OnStoreRecord(aRecord); },
         [this](const absl::Status& aStatus) { NoteStoreHealth(aStatus); } })
-  , entries_(
-      timers_,
-      *store_,
-      gpStoreTopic::Entries,
-      { [this](const gpStoreRecord& aRecord) { OnEntryRecord(aRecord); },
-        [](const absl::Status&) {} })
+  , entries_(timers_,
+             *store_,
+             gpStoreTopic::Entries,
+             { [this](const gpStoreRecord& aRecord) { OnEntryRecord(aRecord); },
+               [](const absl::Status&) {} })
 {
 }
 
@@ -149,8 +144,7 @@
 gpLeaseEntryProcess::OnCall(gpRequestId aRequest, const gpJobStateCall& aCall)
 {
   if (!RefuseUnknown(aRequest, aCall.host_, aCall.path_)) {
-    callers_.Respond(aRequest,
-                     jobs_->RenderState(reducer_->HasJob(aCall.id_)));
+    callers_.Respond(aRequest, jobs_->RenderState(reducer_->HasJob(aCall.id_)));
   }
 }
 
@@ -169,8 +163,8 @@
     return;
   }
   const gpQueue* queue = reducer_->GetQueues().Find(aCall.host_, aCall.path_);
-  callers_.Respond(
-    aRequest, jobs_->RenderPending(reducer_->CountPending(queue->name_)));
+  callers_.Respond(aRequest,
+                   jobs_->RenderPending(reducer_->CountPending(queue->name_)));
 }
 
 void
@@ -294,9 +288,10 @@
   const auto received = receivedAt_.find(answer->request_);
   if (received != receivedAt_.end()) {
     metrics_
-      .Histogram("gypsumpoint_response_seconds",
-                 "Time from a submission to its answer",
-                 { { "outcome", gpLeaseOutcomeName(answer->answer_.outcome_) } })
+      .Histogram(
+        "gypsumpoint_response_seconds",
+        "Time from a submission to its answer",
+        { { "outcome", gpLeaseOutcomeName(answer->answer_.outcome_) } })
       .Observe(gpEventLoop::Now() - received->second);
     receivedAt_.erase(received);
   }
--- a/Source/Entry/main.cxx
+++ b/Source/Entry/main.cxx
@@ -19,12 +19,12 @@
     std::cerr << gpErrorText(settings.status()) << "\n";
     return kExitUsage;
   }
-  gpLeaseEntryProcess process(
-    *settings,
-    std::make_unique<gpPlatformJobs>(),
-    [&settings](gpHttpClient& aClient) {
-      return std::make_unique<gpPlatformStore>(aClient, settings->store_);
-    });
+  gpLeaseEntryProcess process(*settings,
+                              std::make_unique<gpPlatformJobs>(),
+                              [&settings](gpHttpClient& aClient) {
+                                return std::make_unique<gpPlatformStore>(
+                                  aClient, settings->store_);
+                              });
   const absl::Status status = process.Open();
   if (!status.ok()) {
     std::cerr << "gypsumpoint-entry: " << gpErrorText(status) << "\n";
--- a/Source/Guard/gpLeaseGuardProcess.cxx
+++ b/Source/Guard/gpLeaseGuardProcess.cxx
@@ -84,8 +84,7 @@
   if (!call.ok()) {
     const gpErrorCode code = gpErrorCodeOf(call.status());
     NoteBadInput(code);
-    response.status_ =
-      code == gpErrorCode::NotFound ? kNotFound : kBadRequest;
+    response.status_ = code == gpErrorCode::NotFound ? kNotFound : kBadRequest;
     announced_.Respond(aRequest, std::move(response));
     return;
   }
--- a/Source/Guard/main.cxx
+++ b/Source/Guard/main.cxx
@@ -19,12 +19,12 @@
     std::cerr << gpErrorText(settings.status()) << "\n";
     return kExitUsage;
   }
-  gpLeaseGuardProcess process(
-    *settings,
-    std::make_unique<gpPlatformHeartbeat>(),
-    [&settings](gpHttpClient& aClient) {
-      return std::make_unique<gpPlatformTarget>(aClient, settings->target_);
-    });
+  gpLeaseGuardProcess process(*settings,
+                              std::make_unique<gpPlatformHeartbeat>(),
+                              [&settings](gpHttpClient& aClient) {
+                                return std::make_unique<gpPlatformTarget>(
+                                  aClient, settings->target_);
+                              });
   const absl::Status status = process.Open();
   if (!status.ok()) {
     std::cerr << "gypsumpoint-guard: " << gpErrorText(status) << "\n";
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -43,8 +43,7 @@
 gpMillis
 Scaled(gpMillis aTime, double aFactor)
 {
-  return gpMillis(
-    std::llround(static_cast<double>(aTime.count()) * aFactor));
+  return gpMillis(std::llround(static_cast<double>(aTime.count()) * aFactor));
 }
 
 } // namespace
@@ -165,8 +164,7 @@
   need.estimate_ = aStep.estimate_;
   need.stretch_ = aJob.queue_.stretch_;
   need.allowance_ = aJob.queue_.allowance_ - waited;
-  need.patience_ =
-    std::chrono::duration_cast<gpMillis>(aJob.deadline_ - now_);
+  need.patience_ = std::chrono::duration_cast<gpMillis>(aJob.deadline_ - now_);
   return need;
 }
 
@@ -176,7 +174,8 @@
 {
   gpTimelineEvent event;
   event.kind_ = gpEventKind::JobAnswered;
-  event.key_ = gpServiceKey{ gpServiceName(), gpSubmissionKey(aEvent.job_.id_) };
+  event.key_ =
+    gpServiceKey{ gpServiceName(), gpSubmissionKey(aEvent.job_.id_) };
   event.detail_ = gpLeaseOutcomeName(aAnswer.outcome_) + " " +
                   gpLeaseReasonName(aAnswer.reason_) + " version " +
                   std::to_string(queues_.version_.value_);
@@ -209,8 +208,9 @@
   }
   record.queue_ = *queue;
   record.arrivedAt_ = now_;
-  gpMillis patience =
-    aEvent.job_.patience_ > gpMillis(0) ? aEvent.job_.patience_ : kUsualPatience;
+  gpMillis patience = aEvent.job_.patience_ > gpMillis(0)
+                        ? aEvent.job_.patience_
+                        : kUsualPatience;
   if (queue->timeout_ > gpMillis(0)) {
     patience = std::min(patience, queue->timeout_);
   }
@@ -218,14 +218,14 @@
   const gpMillis objective =
     Scaled(record.GetChain(), queue->stretch_) + queue->allowance_;
   record.objective_ = now_ + objective;
-  const gpMillis startBy =
-    std::max(kShortestStartBy, objective / kStartByPart);
+  const gpMillis startBy = std::max(kShortestStartBy, objective / kStartByPart);
   record.startBy_ = now_ + startBy;
   // Long jobs have to start soon, or their caller has left.
-  record.dueAt_ = std::min(
-    record.startBy_,
-    record.deadline_ - Scaled(record.GetChain(), kLengthMargin));
-  record.needsFast_ = board_.NeedsFast(NeedOf(record, record.job_.steps_[0]), now_);
+  record.dueAt_ =
+    std::min(record.startBy_,
+             record.deadline_ - Scaled(record.GetChain(), kLengthMargin));
+  record.needsFast_ =
+    board_.NeedsFast(NeedOf(record, record.job_.steps_[0]), now_);
   const gpMillis wait = PredictWait(record);
   if (wait > startBy) {
     Refuse(aEvent,
@@ -249,10 +249,9 @@
 gpLeaseEntryReducer::On(const gpLeaseJobCancelled& aEvent)
 {
   if (gpLeaseRecord* job = jobs_.FindById(aEvent.id_)) {
-    EndJob(*job,
-           { gpLeaseOutcome::Cancelled,
-             gpLeaseReason::CallerGone,
-             std::nullopt });
+    EndJob(
+      *job,
+      { gpLeaseOutcome::Cancelled, gpLeaseReason::CallerGone, std::nullopt });
   }
 }
 
@@ -367,11 +366,8 @@
     return;
   }
   const gpLeaseTask& task = job->tasks_[index];
-  board_.NoteEnded(guard->second,
-                   job->job_.id_,
-                   aMessage,
-                   job->GetStep(task).estimate_,
-                   now_);
+  board_.NoteEnded(
+    guard->second, job->job_.id_, aMessage, job->GetStep(task).estimate_, now_);
   WriteRun(gpEventKind::TaskEnded,
            *job,
            aMessage.run_,
@@ -487,7 +483,8 @@
 void
 gpLeaseEntryReducer::EndJob(gpLeaseRecord& aJob, const gpLeaseAnswer& aAnswer)
 {
-  const auto took = std::chrono::duration_cast<gpMillis>(now_ - aJob.arrivedAt_);
+  const auto took =
+    std::chrono::duration_cast<gpMillis>(now_ - aJob.arrivedAt_);
   WriteJob(gpEventKind::JobAnswered,
            aJob,
            gpLeaseOutcomeName(aAnswer.outcome_) + " " +
@@ -590,8 +587,7 @@
     return;
   }
   task.recallAt_ = gpTime::max();
-  WriteRun(
-    gpEventKind::TaskCancelled, aJob, task.run_, task.guard_, "overdue");
+  WriteRun(gpEventKind::TaskCancelled, aJob, task.run_, task.guard_, "overdue");
   out_.Send(view->link_, gpRunCancel{ { task.run_ } });
 }
 
@@ -641,14 +637,13 @@
   order.spec_ = aJob.job_.spec_;
   order.needs_ = step.needs_;
   order.runs_.push_back(task.run_);
-  WriteRun(gpEventKind::TaskSent,
-           aJob,
-           task.run_,
-           aGuard,
-           "free " + std::to_string(view.GetFree().milliCores_) +
-             " mcores slowness " +
-             std::to_string(Scaled(gpMillis(100), view.slowness_).count()) +
-             " %");
+  WriteRun(
+    gpEventKind::TaskSent,
+    aJob,
+    task.run_,
+    aGuard,
+    "free " + std::to_string(view.GetFree().milliCores_) + " mcores slowness " +
+      std::to_string(Scaled(gpMillis(100), view.slowness_).count()) + " %");
 }
 
 void
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -87,7 +87,8 @@
   /// How long a job would wait for room, going by the work that comes before
   /// it; that of other kinds of target doesn't count.
   gpMillis PredictWait(const gpLeaseRecord& aJob) const;
-  gpPlacementNeed NeedOf(const gpLeaseRecord& aJob, const gpJobStep& aStep) const;
+  gpPlacementNeed NeedOf(const gpLeaseRecord& aJob,
+                         const gpJobStep& aStep) const;
   void Refuse(const gpLeaseJobSubmitted& aEvent, const gpLeaseAnswer& aAnswer);
   /// Answers the caller, stops what runs and forgets the job.
   void EndJob(gpLeaseRecord& aJob, const gpLeaseAnswer& aAnswer);
--- a/Source/Lease/gpLeaseEvent.h
+++ b/Source/Lease/gpLeaseEvent.h
@@ -77,14 +77,14 @@
 enum class gpOrderReply
 {
   Accepted,
-  Fence,     ///< it has seen a higher fence; nothing was done
-  Outdated,  ///< it has seen as high a run number; nothing was done
-  Late,      ///< the order's lease had ended already; nothing was done
-  NoRoom,    ///< nothing was done
-  Unhealthy, ///< nothing was done
+  Fence,       ///< it has seen a higher fence; nothing was done
+  Outdated,    ///< it has seen as high a run number; nothing was done
+  Late,        ///< the order's lease had ended already; nothing was done
+  NoRoom,      ///< nothing was done
+  Unhealthy,   ///< nothing was done
   OtherTarget, ///< another incarnation answered; nothing was done
-  NotSent,   ///< the target can't be reached; nothing was done
-  Silent,    ///< no answer; it may be carried out, now or later
+  NotSent,     ///< the target can't be reached; nothing was done
+  Silent,      ///< no answer; it may be carried out, now or later
 };
 
 /// A start has been answered, or given up.
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -12,8 +12,10 @@
 constexpr gpMillis kLookWait{ 100 };
 /// Pause after a look that was not answered.
 constexpr gpMillis kLookRetry{ 20 };
-/// Pause between looks at a target without runs.
-constexpr gpMillis kIdleLook{ 500 };
+/// The same at a target without runs. A look is always under way, so that the
+/// end of the target breaks its connection and is noticed; with the next look
+/// the successor learns of the higher fence before late orders reach it.
+constexpr gpMillis kIdleLookWait{ 250 };
 /// Entries that were not told anything else learn of free room so late at most.
 constexpr gpMillis kRoomPeriod{ 4 };
 /// Period of wake-ups, also for noticing that the process was suspended.
@@ -76,8 +78,8 @@
 bool
 gpLeaseGuardReducer::TakesWork() const
 {
-  return target_.IsKnown() && looked_ && strangers_.empty() &&
-         !target_.IsLeaving() && !target_.IsSilent() &&
+  return target_.IsKnown() && target_.IsConfirmed() && looked_ &&
+         strangers_.empty() && !target_.IsLeaving() && !target_.IsSilent() &&
          shutdownEnd_ == gpTime::max();
 }
 
@@ -248,6 +250,30 @@
   }
 }
 
+void
+gpLeaseGuardReducer::FinishOver(gpTime aSentAt,
+                                const std::vector<gpRunId>& aRunning)
+{
+  for (const gpRunId& id : runs_.ListOver(aSentAt, aRunning)) {
+    Finish(id, gpRunEnd::Stopped);
+  }
+}
+
+void
+gpLeaseGuardReducer::OnOtherTarget(bool aIsSameId)
+{
+  if (aIsSameId) {
+    for (const auto& [id, run] : runs_.GetAll()) {
+      Stop(*runs_.Find(id));
+    }
+  } else {
+    FinishAll();
+  }
+  seenEnds_ = 0;
+  looked_ = false;
+  nextLookAt_ = now_;
+}
+
 void
 gpLeaseGuardReducer::ReportTo(gpIncarnation aEntry, gpRunReport aReport)
 {
@@ -268,14 +294,12 @@
     return;
   }
   const bool wasDraining = target_.IsKnown() && target_.Get().draining_;
+  const bool isSameId =
+    target_.IsKnown() && target_.Get().id_ == aEvent.target_.id_;
   const bool isOther = target_.Hear(aEvent.target_, now_);
   runs_.SetCapacity(aEvent.target_.capacity_);
   if (isOther) {
-    FinishAll();
-    seenEnds_ = 0;
-    toldSeenEnds_ = 0;
-    looked_ = false;
-    nextLookAt_ = now_;
+    OnOtherTarget(isSameId);
     WriteTarget(gpEventKind::TargetAnnounced, aEvent.target_.id_);
   }
   if (aEvent.target_.draining_ && !wasDraining) {
@@ -361,8 +385,7 @@
   target_.NoteClock(aEvent.clock_, now_);
   if (target_.NoteBorn(aEvent.born_)) {
     WriteTarget(gpEventKind::TargetLeaving, "another incarnation answered");
-    FinishAll();
-    return;
+    OnOtherTarget(true);
   }
   if (aEvent.reply_ != gpOrderReply::Accepted) {
     if (aEvent.reply_ == gpOrderReply::Fence) {
@@ -370,9 +393,12 @@
     }
     target_.NoteSilence();
     nextLookAt_ = now_ + kLookRetry;
-    // Without a listener there is no target, so nothing runs.
+    // Without a listener there is no target, so what it had confirmed before
+    // the look has ended with it. Later orders may have met its successor.
+    // Its successor is to refuse what is still under way.
     if (aEvent.reply_ == gpOrderReply::NotSent) {
-      FinishAll();
+      target_.RaiseFence();
+      FinishOver(aEvent.sentAt_, {});
     }
     return;
   }
@@ -384,9 +410,7 @@
       Finish(ended.run_, ended.end_);
     }
   }
-  for (const gpRunId& id : runs_.ListOver(aEvent.sentAt_, aEvent.running_)) {
-    Finish(id, gpRunEnd::Stopped);
-  }
+  FinishOver(aEvent.sentAt_, aEvent.running_);
   const std::set<gpRunId> before = std::exchange(strangers_, {});
   for (const gpRunId& id : aEvent.running_) {
     if (runs_.Find(id) != nullptr) {
@@ -398,9 +422,7 @@
       out_.Add(gpStopRun{ target_.Get().id_, id, target_.GetFence() });
     }
   }
-  const bool busy = !runs_.IsEmpty() || !strangers_.empty() ||
-                    seenEnds_ != toldSeenEnds_;
-  nextLookAt_ = busy ? now_ : now_ + kIdleLook;
+  nextLookAt_ = now_;
 }
 
 void
@@ -427,9 +449,7 @@
 void
 gpLeaseGuardReducer::Look()
 {
-  const bool hasStarted = !runs_.IsEmpty();
-  if (looking_ || !target_.IsKnown() ||
-      (now_ < nextLookAt_ && (!hasStarted || target_.IsSilent()))) {
+  if (looking_ || !target_.IsKnown() || now_ < nextLookAt_) {
     return;
   }
   looking_ = true;
@@ -437,10 +457,12 @@
   look.target_ = target_.Get().id_;
   look.fence_ = target_.GetFence();
   look.seenEnds_ = seenEnds_;
-  toldSeenEnds_ = seenEnds_;
-  if (hasStarted && !target_.IsSilent()) {
+  look.wait_ = kIdleLookWait;
+  if (!runs_.IsEmpty() && !target_.IsSilent()) {
     look.leaseEnd_ = target_.ExtendLease(now_);
     look.wait_ = kLookWait;
+  } else if (!looked_ || !strangers_.empty()) {
+    look.wait_ = gpMillis(0);
   }
   out_.Add(std::move(look));
 }
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -95,6 +95,11 @@
   void Finish(const gpRunId& aRun, gpRunEnd aEnd);
   /// Nothing runs at the target any more.
   void FinishAll();
+  /// Ends the runs that a look sent at that time didn't show as running.
+  void FinishOver(gpTime aSentAt, const std::vector<gpRunId>& aRunning);
+  /// The target is another incarnation. Under another ID it can't have taken
+  /// any order; under the same one, the last orders may be at work there.
+  void OnOtherTarget(bool aIsSameId);
   void Refuse(gpLinkId aLink, const gpRunId& aRun, gpRunEnd aReason);
   void ReportTo(gpIncarnation aEntry, gpRunReport aReport);
   /// Looks at the target if it's time, which also renews its lease.
@@ -117,7 +122,6 @@
   /// Runs that the target shows but this incarnation hasn't started.
   std::set<gpRunId> strangers_;
   std::uint64_t seenEnds_ = 0;
-  std::uint64_t toldSeenEnds_ = 0;
   bool looking_ = false;
   /// A look has been answered since the target was first heard.
   bool looked_ = false;
--- a/Source/Lease/gpLeaseJobTable.h
+++ b/Source/Lease/gpLeaseJobTable.h
@@ -115,7 +115,9 @@
             gpIncarnation aGuard,
             std::uint64_t aRunNumber);
   /// The run of a task is over, or its guard was lost.
-  void TakeBack(gpLeaseRecord& aJob, std::size_t aTask, gpLeaseTaskPhase aPhase);
+  void TakeBack(gpLeaseRecord& aJob,
+                std::size_t aTask,
+                gpLeaseTaskPhase aPhase);
   /// Lets the steps wait for room whose earlier steps are all done.
   void Unblock(gpLeaseRecord& aJob);
 
--- a/Source/Lease/gpRunTable.cxx
+++ b/Source/Lease/gpRunTable.cxx
@@ -54,8 +54,8 @@
   const std::set<gpRunId> running(aRunning.begin(), aRunning.end());
   std::vector<gpRunId> over;
   for (const auto& [id, run] : runs_) {
-    const bool mustShow = run.settledAt_.has_value() &&
-                          *run.settledAt_ <= aSentAt;
+    const bool mustShow =
+      run.settledAt_.has_value() && *run.settledAt_ <= aSentAt;
     if (mustShow && !running.contains(id)) {
       over.push_back(id);
     }
--- a/Source/Lease/gpTargetBoard.cxx
+++ b/Source/Lease/gpTargetBoard.cxx
@@ -183,9 +183,9 @@
       fastest = std::min(fastest, view.slowness_);
     }
   }
-  const double limit = static_cast<double>(aNeed.patience_.count()) /
-                       (static_cast<double>(aNeed.estimate_.count() + 1) *
-                        kLostCauseMargin);
+  const double limit =
+    static_cast<double>(aNeed.patience_.count()) /
+    (static_cast<double>(aNeed.estimate_.count() + 1) * kLostCauseMargin);
   return std::max(limit, fastest * kClassWidth);
 }
 
--- a/Source/Lease/gpTargetBoard.h
+++ b/Source/Lease/gpTargetBoard.h
@@ -106,7 +106,8 @@
   /// Whether a target of the service takes work.
   bool HasTarget(const gpServiceName& aService) const;
   /// Whether a target of the service could hold the task when it is empty.
-  bool CouldHold(const gpServiceName& aService, const gpResources& aNeeds) const;
+  bool CouldHold(const gpServiceName& aService,
+                 const gpResources& aNeeds) const;
   /// Processor of all targets of the service that take work, in thousandths of
   /// a core of average speed.
   double GetCapacity(const gpServiceName& aService) const;
--- a/Source/Lease/gpTargetSession.cxx
+++ b/Source/Lease/gpTargetSession.cxx
@@ -52,7 +52,6 @@
   if (isFirst || !target_.has_value() || target_->born_ == aBorn) {
     return false;
   }
-  target_.reset();
   RaiseFence();
   return true;
 }
--- a/Source/Lease/gpTargetSession.h
+++ b/Source/Lease/gpTargetSession.h
@@ -23,7 +23,7 @@
   /// that nothing runs at the target any more.
   bool Hear(const gpTargetAnnouncement& aTarget, gpTime aNow);
   /// Takes the incarnation that the target itself told. True if it's another
-  /// one; the target is then unknown until its next heartbeat.
+  /// one under the same ID; its capacity is unknown until its heartbeat.
   bool NoteBorn(std::uint64_t aBorn);
   /// Notes the target's clock, in ms, as of an answer that came now.
   void NoteClock(std::uint64_t aClock, gpTime aNow);
@@ -36,6 +36,8 @@
   bool IsCurrent(const gpTargetAnnouncement& aTarget) const;
 
   bool IsKnown() const { return target_.has_value(); }
+  /// Whether the last heartbeat is of the incarnation that answers.
+  bool IsConfirmed() const { return target_->born_ == toldBorn_; }
   const gpTargetAnnouncement& Get() const { return *target_; }
   bool IsSilent() const { return silences_ >= kSilencesToGiveUp; }
   bool IsLeaving() const { return ended_ || target_->draining_; }
--- a/Source/Model/gpNames.cxx
+++ b/Source/Model/gpNames.cxx
@@ -28,8 +28,7 @@
 };
 
 constexpr std::array<const char*, 7> kRunEndNames = {
-  "done",    "failed",    "stopped",  "no_room",
-  "leaving", "unhealthy", "outdated",
+  "done", "failed", "stopped", "no_room", "leaving", "unhealthy", "outdated",
 };
 
 } // namespace
--- a/Source/Process/gpMessageName.cxx
+++ b/Source/Process/gpMessageName.cxx
@@ -12,7 +12,9 @@
     "start",         "start_refused",      "start_result",
     "resolve",       "resolve_reply",      "cancel",
     "slot_report",   "configuration_news", "roster_news",
-    "announce",      "news_request", "run_order", "run_cancel", "run_report", "runs_held", "target_news", "room_report", "entry_addresses",
+    "announce",      "news_request",       "run_order",
+    "run_cancel",    "run_report",         "runs_held",
+    "target_news",   "room_report",        "entry_addresses",
   };
 
 } // namespace
--- a/Source/Process/gpProcess.cxx
+++ b/Source/Process/gpProcess.cxx
@@ -39,8 +39,7 @@
 gpProcess::gpProcess(gpProcessOptions aOptions,
                      std::size_t aConnections,
                      Handlers aHandlers)
-  : gpNode(MakeNodeOptions(aOptions, aConnections),
-           std::move(aHandlers.links_))
+  : gpNode(MakeNodeOptions(aOptions, aConnections), std::move(aHandlers.links_))
   , http_(loop_, gpHttpLimits{}, std::move(aHandlers.http_))
   , log_(loop_, timers_, httpClient_, aOptions.logService_)
   , streams_(timers_, log_, std::move(aHandlers.streams_))
--- a/Source/Process/gpStoreFollower.cxx
+++ b/Source/Process/gpStoreFollower.cxx
@@ -44,18 +44,18 @@
 gpStoreFollower::ReadNewest()
 {
   hasNewest_ = false;
-  store_.ReadNewest(
-    topic_, [this](const absl::StatusOr<gpStorePage>& aPage) { OnPage(aPage); });
+  store_.ReadNewest(topic_, [this](const absl::StatusOr<gpStorePage>& aPage) {
+    OnPage(aPage);
+  });
 }
 
 void
 gpStoreFollower::ReadOn()
 {
   store_.ReadFrom(
-    topic_,
-    next_,
-    kReadWait,
-    [this](const absl::StatusOr<gpStorePage>& aPage) { OnPage(aPage); });
+    topic_, next_, kReadWait, [this](const absl::StatusOr<gpStorePage>& aPage) {
+      OnPage(aPage);
+    });
 }
 
 void
@@ -89,7 +89,8 @@
     handlers_.health_(aStatus);
   }
   const int doublings = std::min(failures_++, kMostDoublings);
-  const gpMillis pause = std::min(kFirstPause * (1 << doublings), kLongestPause);
+  const gpMillis pause =
+    std::min(kFirstPause * (1 << doublings), kLongestPause);
   timers_.Subscribe(gpEventLoop::Now() + Jittered(pause), [this] {
     if (hasNewest_) {
       ReadOn();
--- a/Source/Wire/gpWireRuns.h
+++ b/Source/Wire/gpWireRuns.h
@@ -9,7 +9,9 @@
 flatbuffers::Offset<gpWire::RunOrder>
 gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpRunOrder& aIn);
 bool
-gpReadWire(gpWireReader& aReader, const gpWire::RunOrder* aIn, gpRunOrder& aOut);
+gpReadWire(gpWireReader& aReader,
+           const gpWire::RunOrder* aIn,
+           gpRunOrder& aOut);
 
 flatbuffers::Offset<gpWire::RunCancel>
 gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpRunCancel& aIn);
@@ -28,7 +30,9 @@
 flatbuffers::Offset<gpWire::RunsHeld>
 gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpRunsHeld& aIn);
 bool
-gpReadWire(gpWireReader& aReader, const gpWire::RunsHeld* aIn, gpRunsHeld& aOut);
+gpReadWire(gpWireReader& aReader,
+           const gpWire::RunsHeld* aIn,
+           gpRunsHeld& aOut);
 
 flatbuffers::Offset<gpWire::TargetNews>
 gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpTargetNews& aIn);
--- /dev/null
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -0,0 +1,740 @@
+#include "gpLeaseHistory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gpLeaseTimings.h"
+
+namespace {
+
+constexpr const char* kService = "pond-order";
+constexpr const char* kHost = "ponds";
+constexpr const char* kPath = "/hold/";
+constexpr std::uint64_t kTargetMilliCores = 4000;
+constexpr std::uint64_t kTaskMilliCores = 1000;
+constexpr std::size_t kTasks = 3;
+constexpr gpMillis kPatience{ 1500 };
+constexpr gpMillis kAnswerTimeout{ 60 };
+constexpr gpMillis kHeartbeat{ 500 };
+/// A stopped job may be at work no longer than this: link loss, lease, stops
+/// that are repeated.
+constexpr gpMillis kLongestAfterlife{ 3000 };
+
+gpQueueTable
+MakeQueues()
+{
+  gpQueue queue;
+  queue.name_ = gpQueueName("hold");
+  queue.host_ = kHost;
+  queue.pathPrefix_ = kPath;
+  queue.service_ = gpServiceName(kService);
+  queue.maxAttempts_ = 3;
+  queue.stretch_ = 1.6;
+  queue.allowance_ = gpMillis(60);
+  gpQueueTable table;
+  table.version_ = gpConfigVersion(1);
+  table.queues_.push_back(queue);
+  return table;
+}
+
+std::string
+JobOf(const std::string& aTask)
+{
+  return aTask.substr(0, aTask.find('.'));
+}
+
+} // namespace
+
+gpLeaseHistory::gpLeaseHistory(gpLeaseHistoryOptions aOptions)
+  : options_(aOptions)
+  , generator_(aOptions.seed_)
+{
+  end_ = now_ + options_.length_;
+  entries_.resize(options_.entries_);
+  guards_.resize(options_.guards_);
+  targets_.resize(options_.guards_);
+  sequences_.resize(options_.guards_);
+  for (std::size_t index = 0; index < options_.guards_; ++index) {
+    StartTarget(index);
+    StartGuard(index);
+    Heartbeat(index);
+  }
+  for (std::size_t index = 0; index < options_.entries_; ++index) {
+    StartEntry(index);
+  }
+  At(now_ + gpMillis(200), [this] { SubmitLater(); });
+  if (options_.faultPause_ > gpMillis(0)) {
+    At(now_ + gpMillis(300), [this] { Fault(); });
+  }
+}
+
+std::vector<std::string>
+gpLeaseHistory::Run()
+{
+  const gpTime last = end_ + kLongestAfterlife;
+  while (!events_.empty() && broken_.empty()) {
+    auto first = events_.begin();
+    if (first->first > last) {
+      break;
+    }
+    now_ = std::max(now_, first->first);
+    const auto event = std::move(first->second);
+    events_.erase(first);
+    event();
+    Check();
+  }
+  return broken_;
+}
+
+std::size_t
+gpLeaseHistory::Draw(std::size_t aCount)
+{
+  return std::uniform_int_distribution<std::size_t>(0, aCount - 1)(generator_);
+}
+
+bool
+gpLeaseHistory::Chance(unsigned aPerThousand)
+{
+  return Draw(1000) < aPerThousand;
+}
+
+gpMicros
+gpLeaseHistory::DrawLatency()
+{
+  return gpMicros(200 + Draw(1500));
+}
+
+void
+gpLeaseHistory::At(gpTime aWhen, std::function<void()> aEvent)
+{
+  events_.emplace(aWhen, std::move(aEvent));
+}
+
+void
+gpLeaseHistory::AtProcess(Process& aProcess,
+                          gpTime aWhen,
+                          std::function<void()> aEvent)
+{
+  At(aWhen, [this, &aProcess, life = aProcess.life_, aEvent] {
+    if (!aProcess.alive_ || aProcess.life_ != life) {
+      return;
+    }
+    if (now_ < aProcess.frozenUntil_) {
+      AtProcess(aProcess, aProcess.frozenUntil_, aEvent);
+      return;
+    }
+    aEvent();
+  });
+}
+
+void
+gpLeaseHistory::StartEntry(std::size_t aIndex)
+{
+  Process& process = entries_[aIndex];
+  process.index_ = aIndex;
+  ++process.life_;
+  process.alive_ = true;
+  process.peer_.role_ = gpRole::Entry;
+  process.peer_.incarnation_ = gpIncarnation(++lastIncarnation_);
+  process.peer_.address_ = gpAddress("entry-" + std::to_string(aIndex));
+  gpLeaseEntryOptions options;
+  options.address_ = process.peer_.address_;
+  options.dataCentre_ = gpDataCentreName("a");
+  options.firstRun_ = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<gpMillis>(now_.time_since_epoch()).count());
+  options.shutdown_ = gpMillis(5000);
+  process.entry_ = std::make_unique<gpLeaseEntryReducer>(options);
+  process.wakeAt_ = gpTime{};
+  GiveEntry(aIndex, gpQueuesChanged{ MakeQueues() });
+  for (std::size_t guard = 0; guard < guards_.size(); ++guard) {
+    At(now_ + gpMillis(Draw(100)),
+       [this, guard, aIndex] { Dial(guard, aIndex); });
+  }
+}
+
+void
+gpLeaseHistory::StartGuard(std::size_t aIndex)
+{
+  Process& process = guards_[aIndex];
+  process.index_ = aIndex;
+  ++process.life_;
+  process.alive_ = true;
+  process.peer_.role_ = gpRole::Guard;
+  process.peer_.incarnation_ = gpIncarnation(++lastIncarnation_);
+  gpLeaseGuardOptions options;
+  options.service_ = gpServiceName(kService);
+  options.dataCentre_ = gpDataCentreName("a");
+  options.fence_ = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<gpMillis>(now_.time_since_epoch()).count());
+  options.shutdown_ = gpMillis(5000);
+  process.guard_ = std::make_unique<gpLeaseGuardReducer>(options);
+  process.wakeAt_ = gpTime{};
+  GiveGuard(aIndex, gpTimePassed{});
+  for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
+    At(now_ + gpMillis(Draw(100)),
+       [this, aIndex, entry] { Dial(aIndex, entry); });
+  }
+}
+
+void
+gpLeaseHistory::StartTarget(std::size_t aGuard)
+{
+  const double rate = Chance(300) ? 0.98 : 1.0;
+  const auto born = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<gpMillis>(now_.time_since_epoch()).count());
+  targets_[aGuard] = std::make_unique<gpSimTarget>(
+    "i-" + std::to_string(aGuard), born, rate, now_);
+  sequences_[aGuard] = 0;
+}
+
+void
+gpLeaseHistory::Heartbeat(std::size_t aGuard)
+{
+  At(now_ + kHeartbeat, [this, aGuard] { Heartbeat(aGuard); });
+  if (targets_[aGuard] == nullptr) {
+    return;
+  }
+  gpTargetAnnouncement target;
+  target.id_ = targets_[aGuard]->GetId();
+  target.born_ = targets_[aGuard]->GetBorn();
+  target.sequence_ = ++sequences_[aGuard];
+  target.service_ = gpServiceName(kService);
+  target.capacity_ = { kTargetMilliCores, 1024, 0 };
+  AtProcess(guards_[aGuard], now_ + DrawLatency(), [this, aGuard, target] {
+    GiveGuard(aGuard, gpTargetHeard{ target });
+  });
+}
+
+void
+gpLeaseHistory::Dial(std::size_t aGuard, std::size_t aEntry)
+{
+  Process& guard = guards_[aGuard];
+  Process& entry = entries_[aEntry];
+  const bool isReady = guard.alive_ && entry.alive_ &&
+                       now_ >= guard.frozenUntil_ && now_ >= entry.frozenUntil_;
+  for (const auto& [id, link] : links_) {
+    const bool isOurs = link.guard_ == aGuard && link.entry_ == aEntry &&
+                        link.guardLife_ == guard.life_;
+    if (isOurs && link.open_[0]) {
+      return;
+    }
+  }
+  if (!isReady) {
+    if (guard.alive_) {
+      At(now_ + gpMillis(100),
+         [this, aGuard, aEntry] { Dial(aGuard, aEntry); });
+    }
+    return;
+  }
+  const std::uint64_t id = ++lastLink_;
+  Link link;
+  link.guard_ = aGuard;
+  link.entry_ = aEntry;
+  link.guardLife_ = guard.life_;
+  link.entryLife_ = entry.life_;
+  links_.emplace(id, link);
+  GiveEntry(aEntry, gpLinkOpened{ gpLinkId(id), guard.peer_, std::nullopt });
+  GiveGuard(aGuard,
+            gpLinkOpened{ gpLinkId(id), entry.peer_, entry.peer_.address_ });
+}
+
+template<typename Input>
+void
+gpLeaseHistory::GiveEntry(std::size_t aIndex, Input aInput)
+{
+  gpLeaseEntryEvent event;
+  event.now_ = now_;
+  event.input_ = std::move(aInput);
+  Process& process = entries_[aIndex];
+  CarryOut(process, process.entry_->Reduce(event));
+}
+
+template<typename Input>
+void
+gpLeaseHistory::GiveGuard(std::size_t aIndex, Input aInput)
+{
+  gpLeaseGuardEvent event;
+  event.now_ = now_;
+  event.input_ = std::move(aInput);
+  Process& process = guards_[aIndex];
+  CarryOut(process, process.guard_->Reduce(event));
+}
+
+void
+gpLeaseHistory::CarryOut(Process& aProcess, std::vector<gpLeaseEffect> aEffects)
+{
+  for (gpLeaseEffect& effect : aEffects) {
+    if (auto* send = std::get_if<gpSend>(&effect)) {
+      CarrySend(aProcess, *send);
+    } else if (const auto* close = std::get_if<gpCloseLink>(&effect)) {
+      links_.at(close->link_.value_).open_[0] = false;
+      const std::uint64_t id = close->link_.value_;
+      At(now_ + DrawLatency(),
+         [this, id] { LoseEnd(id, 1, gpErrorCode::LinkClosed); });
+      At(now_ + gpMillis(100),
+         [this, guard = aProcess.index_, entry = links_.at(id).entry_] {
+           Dial(guard, entry);
+         });
+    } else if (const auto* wake = std::get_if<gpWakeAt>(&effect)) {
+      aProcess.wakeAt_ = wake->when_;
+      AtProcess(aProcess, wake->when_, [this, &aProcess, when = wake->when_] {
+        if (aProcess.wakeAt_ != when) {
+          return;
+        }
+        if (aProcess.entry_ != nullptr) {
+          GiveEntry(aProcess.index_, gpTimePassed{});
+        } else {
+          GiveGuard(aProcess.index_, gpTimePassed{});
+        }
+      });
+    } else if (const auto* answer = std::get_if<gpAnswerLeaseJob>(&effect)) {
+      OnAnswer(answer->request_, answer->answer_);
+    } else if (const auto* start = std::get_if<gpStartRun>(&effect)) {
+      CarryStart(aProcess.index_, *start);
+    } else if (const auto* stop = std::get_if<gpStopRun>(&effect)) {
+      CarryStop(aProcess.index_, *stop);
+    } else if (const auto* look = std::get_if<gpLookAtTarget>(&effect)) {
+      CarryLook(aProcess.index_, *look);
+    }
+  }
+}
+
+void
+gpLeaseHistory::CarrySend(Process& aProcess, gpSend& aSend)
+{
+  Link& link = links_.at(aSend.link_.value_);
+  const int from = aProcess.guard_ != nullptr ? 0 : 1;
+  if (const auto* order = std::get_if<gpRunOrder>(&aSend.message_)) {
+    for (const gpRunId& run : order->runs_) {
+      ordered_.emplace(run, newest_.at(JobOf(run.task_)));
+      needs_.emplace(run, order->needs_);
+    }
+  }
+  if (!link.open_[from] || link.silent_) {
+    return;
+  }
+  const gpTime when = std::max(link.lastAt_[from], now_ + DrawLatency());
+  link.lastAt_[from] = when;
+  const int to = 1 - from;
+  Process& receiver = to == 0 ? guards_[link.guard_] : entries_[link.entry_];
+  const std::uint64_t id = aSend.link_.value_;
+  AtProcess(
+    receiver, when, [this, id, to, message = std::move(aSend.message_)] {
+      const Link& open = links_.at(id);
+      if (!open.open_[to]) {
+        return;
+      }
+      if (to == 0) {
+        GiveGuard(open.guard_, gpMessageReceived{ gpLinkId(id), message });
+      } else {
+        GiveEntry(open.entry_, gpMessageReceived{ gpLinkId(id), message });
+      }
+    });
+}
+
+void
+gpLeaseHistory::CarryStart(std::size_t aGuard, const gpStartRun& aStart)
+{
+  gpSimRun run;
+  run.run_ = aStart.run_;
+  run.fails_ = Chance(20);
+  run.hangs_ = Chance(5);
+  run.needs_ = needs_[aStart.run_];
+  const gpMillis length(10 + Draw(300));
+  auto carry = [this, aGuard, aStart, run, length]() mutable {
+    gpSimTarget* target = targets_[aGuard].get();
+    if (target == nullptr || target->GetId() != aStart.target_) {
+      return gpOrderReply::NotSent;
+    }
+    run.endsAt_ = now_ + length;
+    const gpOrderReply reply = target->Start(aStart, run, now_);
+    if (reply == gpOrderReply::Accepted) {
+      CheckStarted(aStart.run_);
+    }
+    return reply;
+  };
+  if (Chance(options_.lostOrders_)) {
+    if (Chance(500)) {
+      const gpMillis delay(Chance(500) ? 2000 + Draw(10000) : Draw(40));
+      At(now_ + delay, [carry]() mutable { carry(); });
+    }
+    AtProcess(guards_[aGuard], now_ + kAnswerTimeout, [this, aGuard, aStart] {
+      GiveGuard(aGuard, gpStartReplied{ aStart.run_, gpOrderReply::Silent, 0 });
+    });
+    return;
+  }
+  At(now_ + DrawLatency(), [this, aGuard, aStart, carry]() mutable {
+    const gpOrderReply reply = carry();
+    const std::uint64_t clock =
+      targets_[aGuard] == nullptr ? 0 : targets_[aGuard]->GetClock(now_);
+    AtProcess(guards_[aGuard],
+              now_ + DrawLatency(),
+              [this, aGuard, aStart, reply, clock] {
+                GiveGuard(aGuard, gpStartReplied{ aStart.run_, reply, clock });
+              });
+  });
+}
+
+void
+gpLeaseHistory::CarryStop(std::size_t aGuard, const gpStopRun& aStop)
+{
+  const auto carry = [this, aGuard, aStop] {
+    gpSimTarget* target = targets_[aGuard].get();
+    return target == nullptr || target->GetId() != aStop.target_
+             ? gpOrderReply::NotSent
+             : target->Stop(aStop, now_);
+  };
+  if (Chance(options_.lostOrders_)) {
+    if (Chance(500)) {
+      At(now_ + gpMillis(2000 + Draw(10000)), [carry] { carry(); });
+    }
+    AtProcess(guards_[aGuard], now_ + kAnswerTimeout, [this, aGuard, aStop] {
+      GiveGuard(aGuard, gpStopReplied{ aStop.run_, gpOrderReply::Silent, 0 });
+    });
+    return;
+  }
+  At(now_ + DrawLatency(), [this, aGuard, aStop, carry] {
+    const gpOrderReply reply = carry();
+    AtProcess(
+      guards_[aGuard], now_ + DrawLatency(), [this, aGuard, aStop, reply] {
+        GiveGuard(aGuard, gpStopReplied{ aStop.run_, reply, 0 });
+      });
+  });
+}
+
+void
+gpLeaseHistory::CarryLook(std::size_t aGuard, const gpLookAtTarget& aLook)
+{
+  const gpTime sentAt = now_;
+  const auto answer = [this, aGuard, sentAt](gpTargetSeen aSeen) {
+    aSeen.sentAt_ = sentAt;
+    GiveGuard(aGuard, std::move(aSeen));
+  };
+  if (Chance(options_.lostOrders_)) {
+    const gpTime silentAt = now_ + aLook.wait_ + kAnswerTimeout;
+    AtProcess(guards_[aGuard], silentAt, [answer] { answer(gpTargetSeen{}); });
+    return;
+  }
+  At(now_ + DrawLatency(), [this, aGuard, aLook, answer] {
+    gpSimTarget* target = targets_[aGuard].get();
+    gpTargetSeen seen;
+    seen.reply_ = gpOrderReply::NotSent;
+    gpMicros wait{ 0 };
+    if (target != nullptr) {
+      seen = target->Look(aLook, now_);
+      wait = seen.ended_.empty() ? gpMicros(aLook.wait_) / 10 : gpMicros(0);
+    }
+    if (target == nullptr || wait == gpMicros(0)) {
+      AtProcess(guards_[aGuard], now_ + DrawLatency(), [answer, seen] {
+        answer(seen);
+      });
+      return;
+    }
+    // The target answers later, with what it has then.
+    gpLookAtTarget again = aLook;
+    again.leaseEnd_.reset();
+    At(now_ + wait, [this, aGuard, again, answer] {
+      gpTargetSeen late;
+      late.reply_ = gpOrderReply::Silent;
+      if (targets_[aGuard] != nullptr) {
+        late = targets_[aGuard]->Look(again, now_);
+      }
+      AtProcess(guards_[aGuard], now_ + DrawLatency(), [answer, late] {
+        answer(late);
+      });
+    });
+  });
+}
+
+void
+gpLeaseHistory::OnAnswer(gpRequestId aRequest, const gpLeaseAnswer& aAnswer)
+{
+  Caller& caller = callers_.at(aRequest);
+  if (caller.answered_) {
+    Break("a request was answered twice");
+  }
+  caller.answered_ = true;
+  if (aAnswer.outcome_ == gpLeaseOutcome::Completed) {
+    ++completed_;
+    if (doneTasks_[caller.job_].size() != kTasks) {
+      Break("job " + caller.job_ + " is complete without all of its tasks");
+    }
+  } else if (aAnswer.outcome_ == gpLeaseOutcome::NotRun) {
+    ++refused_;
+    notRun_.insert(aRequest);
+    for (const gpRunId& run : started_) {
+      if (ordered_.at(run) == aRequest) {
+        Break("job " + caller.job_ + " is said not to have run, but it has");
+      }
+    }
+  } else {
+    caller.left_ = true;
+    caller.leftAt_ = now_;
+  }
+}
+
+void
+gpLeaseHistory::SubmitLater()
+{
+  if (now_ >= end_) {
+    return;
+  }
+  Submit("job" + std::to_string(++lastJob_), 1);
+  At(now_ + gpMillis(5 + Draw(60)), [this] { SubmitLater(); });
+}
+
+void
+gpLeaseHistory::Submit(const std::string& aJob, int aTries)
+{
+  const std::size_t entry = Draw(entries_.size());
+  Process& process = entries_[entry];
+  if (!process.alive_ || now_ < process.frozenUntil_) {
+    return;
+  }
+  const gpRequestId request(++lastRequest_);
+  Caller caller;
+  caller.job_ = aJob;
+  caller.entry_ = entry;
+  caller.entryLife_ = process.life_;
+  caller.tries_ = aTries;
+  callers_.emplace(request, caller);
+  newest_[aJob] = request;
+  gpLeaseJob job;
+  job.id_ = aJob;
+  job.host_ = kHost;
+  job.path_ = std::string(kPath) + aJob;
+  job.patience_ = kPatience;
+  gpJobStep step;
+  step.count_ = kTasks;
+  step.needs_ = { kTaskMilliCores, 64, 0 };
+  step.estimate_ = gpMillis(50 + Draw(200));
+  job.steps_.push_back(step);
+  GiveEntry(entry, gpLeaseJobSubmitted{ request, std::move(job) });
+  // Some callers lose their connection; all of these come back later.
+  if (Chance(150) && aTries < 3) {
+    const gpTime leave = now_ + gpMillis(5 + Draw(200));
+    AtProcess(process, leave, [this, request, entry] {
+      Caller& leaver = callers_.at(request);
+      if (!leaver.answered_) {
+        leaver.left_ = true;
+        leaver.leftAt_ = now_;
+        GiveEntry(entry, gpCallerGone{ request });
+      }
+    });
+    At(leave + kShortestResend, [this, request] { SubmitAgain(request); });
+  }
+}
+
+void
+gpLeaseHistory::SubmitAgain(gpRequestId aRequest)
+{
+  Caller& caller = callers_.at(aRequest);
+  if (!caller.answered_ && !std::exchange(caller.cameBack_, true)) {
+    Submit(caller.job_, caller.tries_ + 1);
+  }
+}
+
+void
+gpLeaseHistory::Fault()
+{
+  if (now_ >= end_) {
+    return;
+  }
+  switch (Draw(7)) {
+    case 0:
+      BreakLink(false);
+      break;
+    case 1:
+      BreakLink(true);
+      break;
+    case 2:
+      Kill(entries_[Draw(entries_.size())]);
+      break;
+    case 3:
+      Kill(guards_[Draw(guards_.size())]);
+      break;
+    case 4:
+      Freeze(entries_[Draw(entries_.size())]);
+      break;
+    case 5:
+      Freeze(guards_[Draw(guards_.size())]);
+      break;
+    default:
+      CrashTarget(Draw(guards_.size()));
+      break;
+  }
+  const auto most = static_cast<std::size_t>(2 * options_.faultPause_.count());
+  At(now_ + gpMillis(1 + Draw(most)), [this] { Fault(); });
+}
+
+void
+gpLeaseHistory::BreakLink(bool aSilent)
+{
+  if (links_.empty()) {
+    return;
+  }
+  auto chosen = links_.begin();
+  std::advance(chosen, static_cast<std::ptrdiff_t>(Draw(links_.size())));
+  auto& [id, link] = *chosen;
+  link.silent_ = true;
+  for (const int end : { 0, 1 }) {
+    const gpMicros delay =
+      aSilent ? gpMicros(kLinkSilence) - gpMillis(Draw(100)) : DrawLatency();
+    At(now_ + delay,
+       [this, id = id, end] { LoseEnd(id, end, gpErrorCode::LinkClosed); });
+  }
+}
+
+void
+gpLeaseHistory::LoseEnd(std::uint64_t aLink, int aEnd, gpErrorCode aReason)
+{
+  Link& link = links_.at(aLink);
+  Process& process = aEnd == 0 ? guards_[link.guard_] : entries_[link.entry_];
+  const std::uint64_t life = aEnd == 0 ? link.guardLife_ : link.entryLife_;
+  if (!link.open_[aEnd] || !process.alive_ || process.life_ != life) {
+    return;
+  }
+  AtProcess(process, now_, [this, aLink, aEnd, aReason] {
+    Link& lost = links_.at(aLink);
+    if (!std::exchange(lost.open_[aEnd], false)) {
+      return;
+    }
+    lost.silent_ = true;
+    if (aEnd == 0) {
+      GiveGuard(lost.guard_, gpLinkLost{ gpLinkId(aLink), aReason });
+      At(now_ + gpMillis(100),
+         [this, guard = lost.guard_, entry = lost.entry_] {
+           Dial(guard, entry);
+         });
+    } else {
+      GiveEntry(lost.entry_, gpLinkLost{ gpLinkId(aLink), aReason });
+    }
+  });
+}
+
+void
+gpLeaseHistory::Kill(Process& aProcess)
+{
+  if (!aProcess.alive_) {
+    return;
+  }
+  aProcess.alive_ = false;
+  const bool isEntry = aProcess.entry_ != nullptr;
+  const bool isSilent = Chance(300);
+  for (auto& [id, link] : links_) {
+    const bool isOurs = isEntry
+                          ? link.entry_ == aProcess.index_ && link.open_[1]
+                          : link.guard_ == aProcess.index_ && link.open_[0];
+    if (isOurs) {
+      link.silent_ = true;
+      const gpMicros delay = isSilent ? gpMicros(kLinkSilence) : DrawLatency();
+      At(now_ + delay, [this, id = id, end = isEntry ? 0 : 1] {
+        LoseEnd(id, end, gpErrorCode::LinkClosed);
+      });
+    }
+  }
+  if (isEntry) {
+    for (auto& [request, caller] : callers_) {
+      if (caller.entry_ == aProcess.index_ && !caller.answered_ &&
+          caller.entryLife_ == aProcess.life_ && !caller.left_) {
+        caller.left_ = true;
+        caller.leftAt_ = now_;
+        At(now_ + kShortestResend,
+           [this, request = request] { SubmitAgain(request); });
+      }
+    }
+  }
+  At(now_ + gpMillis(50 + Draw(800)), [this, &aProcess, isEntry] {
+    if (isEntry) {
+      StartEntry(aProcess.index_);
+    } else {
+      StartGuard(aProcess.index_);
+    }
+  });
+}
+
+void
+gpLeaseHistory::Freeze(Process& aProcess)
+{
+  if (!aProcess.alive_ || now_ < aProcess.frozenUntil_) {
+    return;
+  }
+  const gpMillis length(20 + Draw(2000));
+  aProcess.frozenUntil_ = now_ + length;
+  const bool isEntry = aProcess.entry_ != nullptr;
+  for (auto& [id, link] : links_) {
+    const bool isOurs = isEntry
+                          ? link.entry_ == aProcess.index_ && link.open_[1]
+                          : link.guard_ == aProcess.index_ && link.open_[0];
+    if (!isOurs || length <= kLinkSilence) {
+      continue;
+    }
+    // The other end hears nothing any more and closes; the frozen one learns
+    // of it when it's awake again, after what had arrived before.
+    At(now_ + kLinkSilence, [this, id = id, end = isEntry ? 0 : 1] {
+      LoseEnd(id, end, gpErrorCode::LinkSilent);
+    });
+    At(now_ + length + gpMillis(1), [this, id = id, end = isEntry ? 1 : 0] {
+      LoseEnd(id, end, gpErrorCode::LinkClosed);
+    });
+  }
+}
+
+void
+gpLeaseHistory::CrashTarget(std::size_t aGuard)
+{
+  if (targets_[aGuard] == nullptr) {
+    return;
+  }
+  targets_[aGuard].reset();
+  At(now_ + gpMillis(50 + Draw(800)), [this, aGuard] { StartTarget(aGuard); });
+}
+
+void
+gpLeaseHistory::Check()
+{
+  std::set<std::string> tasks;
+  for (const auto& target : targets_) {
+    if (target == nullptr) {
+      continue;
+    }
+    target->Advance(now_);
+    for (const gpRunId& done : target->TakeDone()) {
+      doneTasks_[JobOf(done.task_)].insert(done.task_);
+    }
+    gpResources used;
+    for (const auto& [id, run] : target->GetRunning()) {
+      used.Add(run.needs_);
+      if (!tasks.insert(id.task_).second) {
+        Break("two runs of " + id.task_ + " at one time");
+      }
+      const Caller& caller = callers_.at(ordered_.at(id));
+      if (caller.left_ && now_ > caller.leftAt_ + kLongestAfterlife &&
+          callers_.at(newest_.at(caller.job_)).left_) {
+        Break(id.task_ + " runs on after its caller has left");
+      }
+    }
+    if (used.milliCores_ > kTargetMilliCores) {
+      Break("a target has more to do than it has room for");
+    }
+  }
+}
+
+void
+gpLeaseHistory::CheckStarted(const gpRunId& aRun)
+{
+  ++starts_;
+  started_.insert(aRun);
+  const auto ordered = ordered_.find(aRun);
+  if (ordered == ordered_.end()) {
+    Break(aRun.task_ + " was started without an order");
+  } else if (notRun_.contains(ordered->second)) {
+    Break(aRun.task_ + " was started after its job was said not to have run");
+  }
+}
+
+void
+gpLeaseHistory::Break(const std::string& aWhat)
+{
+  broken_.push_back("seed " + std::to_string(options_.seed_) + ": " + aWhat);
+}
--- /dev/null
+++ b/Tests/Lease/testLeaseHistories.cxx
@@ -0,0 +1,66 @@
+#define BOOST_TEST_MODULE gpLeaseHistories
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <string>
+
+#include "gpLeaseHistory.h"
+
+namespace {
+
+/// Reads a number that a longer run by hand may set; see docs/testing.md.
+std::uint64_t
+NumberFrom(const char* aVariable, std::uint64_t aDefault)
+{
+  const char* text = std::getenv(aVariable);
+  return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
+}
+
+void
+RunHistories(gpLeaseHistoryOptions aOptions, std::uint64_t aDefaultCount)
+{
+  const std::uint64_t first = NumberFrom("GP_HISTORY_SEED", 1);
+  const std::uint64_t count = NumberFrom("GP_HISTORY_COUNT", aDefaultCount);
+  std::size_t starts = 0;
+  std::size_t completed = 0;
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    aOptions.seed_ = seed;
+    gpLeaseHistory history(aOptions);
+    const std::vector<std::string> broken = history.Run();
+    starts += history.CountStarts();
+    completed += history.CountCompleted();
+    if (!broken.empty()) {
+      BOOST_FAIL(broken.front());
+    }
+  }
+  BOOST_TEST_MESSAGE(count << " histories: " << starts << " starts, "
+                           << completed << " jobs complete");
+  BOOST_TEST(starts > count);
+  BOOST_TEST(completed > count);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(QuietHistoriesComplete)
+{
+  gpLeaseHistoryOptions options;
+  options.faultPause_ = gpMillis(0);
+  options.lostOrders_ = 0;
+  options.length_ = gpMillis(1500);
+  RunHistories(options, 200);
+}
+
+BOOST_AUTO_TEST_CASE(FaultyHistoriesKeepThePromises)
+{
+  gpLeaseHistoryOptions options;
+  options.length_ = gpMillis(2500);
+  RunHistories(options, 10000);
+}
+
+BOOST_AUTO_TEST_CASE(HistoriesWithManyLostOrdersKeepThePromises)
+{
+  gpLeaseHistoryOptions options;
+  options.length_ = gpMillis(2500);
+  options.lostOrders_ = 400;
+  RunHistories(options, 1000);
+}
