--- a/Source/Model/gpQueueTable.h
+++ b/Source/Model/gpQueueTable.h
@@ -19,7 +19,7 @@
   /// Host name that the callers use.
   std::string host_;
   /// Beginning of the path; the longest one that fits wins.
-  std::string pathPrefix_;
+  std::string prefix_;
   /// Whose targets run the tasks.
   gpServiceName service_;
   /// 0 comes first.
@@ -49,9 +49,8 @@
   {
     const gpQueue* best = nullptr;
     for (const gpQueue& queue : queues_) {
-      if (queue.host_ == aHost && aPath.starts_with(queue.pathPrefix_) &&
-          (best == nullptr ||
-           queue.pathPrefix_.size() > best->pathPrefix_.size())) {
+      if (queue.host_ == aHost && aPath.starts_with(queue.prefix_) &&
+          (best == nullptr || queue.prefix_.size() > best->prefix_.size())) {
         best = &queue;
       }
     }
--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -26,7 +26,7 @@
   gpQueue queue;
   queue.name_ = gpQueueName("hold");
   queue.host_ = kHost;
-  queue.pathPrefix_ = kPath;
+  queue.prefix_ = kPath;
   queue.service_ = gpServiceName(kService);
   queue.maxAttempts_ = 3;
   queue.stretch_ = 1.6;
@@ -113,7 +113,7 @@
 void
 gpLeaseHistory::AtProcess(Process& aProcess,
                           gpTime aWhen,
-                          std::function<void()> aEvent)
+                          const std::function<void()>& aEvent)
 {
   At(aWhen, [this, &aProcess, life = aProcess.life_, aEvent] {
     if (!aProcess.alive_ || aProcess.life_ != life) {
--- a/Tests/Lease/gpLeaseHistory.h
+++ b/Tests/Lease/gpLeaseHistory.h
@@ -93,7 +93,9 @@
   gpMicros DrawLatency();
   void At(gpTime aWhen, std::function<void()> aEvent);
   /// Calls the event at the process, after its freeze, unless it has died.
-  void AtProcess(Process& aProcess, gpTime aWhen, std::function<void()> aEvent);
+  void AtProcess(Process& aProcess,
+                 gpTime aWhen,
+                 const std::function<void()>& aEvent);
 
   void StartEntry(std::size_t aIndex);
   void StartGuard(std::size_t aIndex);
--- /dev/null
+++ b/Tests/Lease/testLeaseParts.cxx
@@ -0,0 +1,258 @@
+#define BOOST_TEST_MODULE gpLeaseParts
+#include <boost/test/unit_test.hpp>
+
+#include "gpEntryFinder.h"
+#include "gpLeaseJobTable.h"
+#include "gpLengthEstimator.h"
+#include "gpRunTable.h"
+#include "gpTargetBoard.h"
+#include "gpTargetSession.h"
+
+namespace {
+
+const gpServiceName kService("pond-order");
+const gpTime kNow{ gpMillis(1000) };
+
+gpResources
+Cores(std::uint64_t aMilliCores)
+{
+  return { aMilliCores, 0, 0 };
+}
+
+/// A board with targets whose slowness has been learned.
+class Board
+{
+public:
+  void Add(std::uint64_t aGuard, double aSlowness, std::uint64_t aFree)
+  {
+    const gpIncarnation guard(aGuard);
+    board_.OnLinked(guard, gpLinkId(aGuard));
+    gpTargetNews news;
+    news.service_ = kService;
+    news.dataCentre_ = gpDataCentreName("dc-1");
+    news.capacity_ = Cores(64000);
+    news.takesWork_ = true;
+    board_.OnNews(guard, news);
+    board_.OnRoom(guard, { Cores(aFree), 0 });
+    const gpMillis estimate(100);
+    for (int run = 0; run < 200; ++run) {
+      gpRunReport report;
+      report.run_ = { "warm", static_cast<std::uint64_t>(run) };
+      report.time_ = gpMicros(static_cast<std::int64_t>(1e5 * aSlowness));
+      board_.NoteEnded(guard, "warm", report, estimate, kNow);
+    }
+  }
+
+  std::optional<gpIncarnation> Choose(gpMillis aEstimate) const
+  {
+    return board_.Choose(Need(aEstimate), kNow);
+  }
+
+  static gpPlacementNeed Need(gpMillis aEstimate)
+  {
+    gpPlacementNeed need;
+    need.service_ = kService;
+    need.needs_ = Cores(6000);
+    need.estimate_ = aEstimate;
+    need.stretch_ = 1.6;
+    need.allowance_ = gpMillis(60);
+    need.patience_ = gpMillis(1500);
+    return need;
+  }
+
+  gpTargetBoard board_{ gpDataCentreName("dc-1") };
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ShortTasksLeaveFastTargetsFree)
+{
+  Board board;
+  board.Add(1, 0.6, 64000);
+  board.Add(2, 1.4, 64000);
+  BOOST_CHECK(board.Choose(gpMillis(60)) == gpIncarnation(2));
+  BOOST_CHECK(board.Choose(gpMillis(200)) == gpIncarnation(2));
+  BOOST_CHECK(board.Choose(gpMillis(900)) == gpIncarnation(1));
+}
+
+BOOST_AUTO_TEST_CASE(ShortTasksTakeFastTargetsWhenTheSlowOnesAreFull)
+{
+  Board board;
+  board.Add(1, 0.6, 64000);
+  board.Add(2, 1.4, 3000);
+  BOOST_CHECK(board.Choose(gpMillis(60)) == gpIncarnation(1));
+}
+
+BOOST_AUTO_TEST_CASE(LongTasksWaitForAFastTarget)
+{
+  Board board;
+  board.Add(1, 0.6, 3000);
+  board.Add(2, 1.4, 64000);
+  // 1200 ms at 1.4 would pass the patience of 1500 ms.
+  BOOST_CHECK(!board.Choose(gpMillis(1200)).has_value());
+  BOOST_CHECK(board.Choose(gpMillis(700)) == gpIncarnation(2));
+}
+
+BOOST_AUTO_TEST_CASE(LongTasksTakeASlowTargetIfThereIsNoOther)
+{
+  Board board;
+  board.Add(2, 1.4, 64000);
+  BOOST_CHECK(board.Choose(gpMillis(1200)) == gpIncarnation(2));
+}
+
+BOOST_AUTO_TEST_CASE(OrdersUnderWayTakeRoom)
+{
+  Board board;
+  board.Add(1, 1.0, 10000);
+  const gpRunId run{ "job.0.0.0", 1 };
+  board.board_.NoteSent(gpIncarnation(1), run, Cores(6000), gpMillis(50), kNow);
+  BOOST_CHECK(!board.Choose(gpMillis(50)).has_value());
+  board.board_.OnRoom(gpIncarnation(1), { Cores(10000), 1 });
+  BOOST_CHECK(board.Choose(gpMillis(50)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ATargetThatFailsSeveralJobsIsEjected)
+{
+  Board board;
+  board.Add(1, 1.0, 64000);
+  gpRunReport failed;
+  failed.end_ = gpRunEnd::Failed;
+  // One job that can never be done says nothing of the target.
+  for (int run = 0; run < 5; ++run) {
+    board.board_.NoteEnded(
+      gpIncarnation(1), "poison", failed, gpMillis(50), kNow);
+  }
+  BOOST_CHECK(board.Choose(gpMillis(50)).has_value());
+  for (const char* job : { "a", "b", "c" }) {
+    board.board_.NoteEnded(gpIncarnation(1), job, failed, gpMillis(50), kNow);
+  }
+  BOOST_CHECK(!board.Choose(gpMillis(50)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ATargetWhoseRunsStandStillGetsNoMore)
+{
+  Board board;
+  board.Add(1, 1.0, 64000);
+  board.board_.NoteSent(gpIncarnation(1),
+                        { "job.0.0.0", 1 },
+                        Cores(6000),
+                        gpMillis(50),
+                        kNow - gpMillis(5000));
+  BOOST_CHECK(!board.Choose(gpMillis(50)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(PredictionsLieBetweenEstimateAndUsual)
+{
+  gpLengthEstimator lengths;
+  const gpQueueName queue("quotes");
+  BOOST_TEST(lengths.Predict(queue, gpMillis(900)).count() == 900);
+  for (int job = 0; job < 100; ++job) {
+    lengths.Predict(queue, gpMillis(900));
+  }
+  const gpMillis low = lengths.Predict(queue, gpMillis(300));
+  BOOST_TEST(low.count() > 400);
+  BOOST_TEST(low.count() < 700);
+  BOOST_TEST(lengths.Predict(queue, gpMillis(0)).count() == 0);
+  BOOST_TEST(lengths.Predict(gpQueueName("other"), gpMillis(100)).count() ==
+             100);
+}
+
+BOOST_AUTO_TEST_CASE(ALookSaysNothingOfLaterStarts)
+{
+  gpRunTable runs;
+  runs.SetCapacity(Cores(1000));
+  gpGuardRun run;
+  run.id_ = { "job.0.0.0", 1 };
+  run.needs_ = Cores(600);
+  BOOST_TEST(runs.Add(run));
+  BOOST_TEST(!runs.Add(run));
+  BOOST_TEST(runs.GetFree().milliCores_ == 400U);
+  BOOST_TEST(runs.ListOver(kNow, {}).empty());
+  runs.Find(run.id_)->settledAt_ = kNow;
+  BOOST_TEST(runs.ListOver(kNow - gpMillis(1), {}).empty());
+  BOOST_TEST(runs.ListOver(kNow, { run.id_ }).empty());
+  BOOST_TEST(runs.ListOver(kNow, {}).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(LateHeartbeatsChangeNothing)
+{
+  gpTargetSession session(1);
+  gpTargetAnnouncement target;
+  target.id_ = "i-1";
+  target.born_ = 100;
+  target.sequence_ = 5;
+  BOOST_TEST(session.Hear(target, kNow));
+  const std::uint64_t fence = session.GetFence();
+  target.sequence_ = 4;
+  target.draining_ = true;
+  BOOST_TEST(!session.Hear(target, kNow));
+  BOOST_TEST(!session.IsLeaving());
+  // A newer incarnation under the same ID; the one before is heard late.
+  gpTargetAnnouncement newer = target;
+  newer.born_ = 200;
+  newer.sequence_ = 1;
+  newer.draining_ = false;
+  BOOST_TEST(session.Hear(newer, kNow));
+  BOOST_TEST(session.GetFence() > fence);
+  target.sequence_ = 9;
+  BOOST_TEST(!session.Hear(target, kNow));
+  BOOST_TEST(session.Get().born_ == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(AnIncarnationThatAnswersIsBelieved)
+{
+  gpTargetSession session(1);
+  gpTargetAnnouncement target;
+  target.id_ = "i-1";
+  target.born_ = 100;
+  target.sequence_ = 1;
+  session.Hear(target, kNow);
+  BOOST_TEST(!session.NoteBorn(100));
+  // The time of day went back, so the newer one has the lower time of start.
+  BOOST_TEST(session.NoteBorn(50));
+  BOOST_TEST(!session.IsConfirmed());
+  target.born_ = 50;
+  BOOST_TEST(session.Hear(target, kNow));
+  BOOST_TEST(session.IsConfirmed());
+}
+
+BOOST_AUTO_TEST_CASE(EntriesThatStayAwayAreForgotten)
+{
+  gpEntryFinder finder(gpAddress("self"));
+  gpLeaseEffects out;
+  finder.Hear({ gpAddress("self"), gpAddress("a") }, kNow, out);
+  BOOST_TEST(out.Take().size() == 1U);
+  finder.OnDialFailed(gpAddress("a"), kNow + gpMillis(1000), out);
+  BOOST_TEST(out.Take().empty());
+  finder.OnDialFailed(gpAddress("a"), kNow + gpMillis(20000), out);
+  BOOST_TEST(out.Take().size() == 1U);
+  // Those of the settings are kept.
+  finder.Keep({ gpAddress("b") }, kNow, out);
+  out.Take();
+  finder.OnDialFailed(gpAddress("b"), kNow + gpMillis(20000), out);
+  BOOST_TEST(out.Take().empty());
+}
+
+BOOST_AUTO_TEST_CASE(StepsWaitForTheStepsBeforeThem)
+{
+  gpLeaseJobTable jobs;
+  gpLeaseRecord record;
+  record.job_.id_ = "job";
+  record.job_.steps_.resize(2);
+  record.job_.steps_[0].count_ = 2;
+  record.job_.steps_[0].estimate_ = gpMillis(100);
+  record.job_.steps_[1].estimate_ = gpMillis(50);
+  record.job_.steps_[1].dependsOn_ = { 0 };
+  gpLeaseRecord& job = jobs.Add(std::move(record));
+  BOOST_TEST(job.GetChain().count() == 150);
+  BOOST_TEST(jobs.GetWaiting().size() == 2U);
+  for (const std::size_t task : { 0, 1 }) {
+    jobs.Send(job, task, gpIncarnation(1), task + 1);
+    jobs.TakeBack(job, task, gpLeaseTaskPhase::Done);
+    jobs.Unblock(job);
+    BOOST_REQUIRE(jobs.GetWaiting().size() == 1U);
+    BOOST_TEST(jobs.GetWaiting().begin()->task_ == task + 1);
+  }
+  jobs.Remove(job.sequence_);
+  BOOST_TEST(jobs.GetWaiting().empty());
+}
--- /dev/null
+++ b/Tests/StandIns/gpStandInStore.cxx
@@ -0,0 +1,92 @@
+// gp-stand-in-store: takes the place of the platform's metadata store.
+
+#include <string>
+
+#include <boost/json.hpp>
+
+#include "gpControlFields.h"
+#include "gpControlServer.h"
+#include "gpEventLoop.h"
+#include "gpStandInOptions.h"
+#include "gpStoreStandIn.h"
+#include "gpTimerService.h"
+
+namespace {
+
+bool
+ReadMode(const boost::json::value& aValue, gpStoreStandIn& aStore)
+{
+  const std::string name =
+    aValue.is_string() ? std::string(aValue.get_string()) : "";
+  if (name == "serve") {
+    aStore.SetMode(gpStoreMode::Serve);
+  } else if (name == "refuse") {
+    aStore.SetMode(gpStoreMode::Refuse);
+  } else if (name == "hang") {
+    aStore.SetMode(gpStoreMode::Hang);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+/// {"configuration": {...}}, {"mode": "serve" | "refuse" | "hang"} or
+/// {"trim": "TOPIC"}.
+absl::Status
+Apply(gpStoreStandIn& aStore, const std::string& aBody)
+{
+  return gpReadFields(
+    aBody,
+    { { "configuration",
+        [&](const boost::json::value& aValue) {
+          aStore.Put("keyed.op", "config", boost::json::serialize(aValue));
+          return true;
+        } },
+      { "mode",
+        [&](const boost::json::value& aValue) {
+          return ReadMode(aValue, aStore);
+        } },
+      { "trim", [&](const boost::json::value& aValue) {
+         aStore.Trim(std::string(aValue.as_string()));
+         return true;
+       } } });
+}
+
+absl::Status
+Run(const gpStandInOptions& aOptions)
+{
+  gpEventLoop loop;
+  gpTimerService timers(loop);
+  gpStoreStandIn store(loop, timers);
+  gpControlServer control(
+    loop,
+    { .apply_ = [&](const std::string& aBody) { return Apply(store, aBody); },
+      .show_ =
+        [&](const std::string& /*aTarget*/) {
+          return R"({"calls":)" + std::to_string(store.CountCalls()) + "}";
+        } });
+  const absl::StatusOr<gpAddress> address = store.Listen(aOptions.listen_);
+  if (!address.ok()) {
+    return address.status();
+  }
+  gpPrintListening("service", *address);
+  if (absl::Status status = control.Listen(aOptions.control_); !status.ok()) {
+    return status;
+  }
+  loop.OnTerminate([&] { loop.Stop(); });
+  loop.Run();
+  return absl::OkStatus();
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  const boost::program_options::options_description own("gp-stand-in-store");
+  gpStandInOptions options;
+  if (!gpParseStandInOptions(aCount, aArguments, own, options)) {
+    return 2;
+  }
+  return gpExitCode(Run(options));
+}
--- /dev/null
+++ b/Tests/StandIns/gpStandInWorker.cxx
@@ -0,0 +1,75 @@
+// gp-stand-in-worker: takes the place of a worker of the platform.
+
+#include <string>
+
+#include <boost/json.hpp>
+
+#include "gpControlFields.h"
+#include "gpControlServer.h"
+#include "gpEventLoop.h"
+#include "gpStandInOptions.h"
+#include "gpTimerService.h"
+#include "gpWorkerStandIn.h"
+
+namespace {
+
+/// {"guard": "IP:PORT"}, {"draining": true} or {"lose_starts": 2}.
+absl::Status
+Apply(gpWorkerStandIn& aWorker, const std::string& aBody)
+{
+  return gpReadFields(
+    aBody,
+    { { "guard",
+        [&](const boost::json::value& aValue) {
+          aWorker.SetGuard(gpAddress(std::string(aValue.as_string())));
+          return true;
+        } },
+      { "draining",
+        [&](const boost::json::value& aValue) {
+          aWorker.SetDraining(aValue.as_bool());
+          return true;
+        } },
+      { "lose_starts", [&](const boost::json::value& aValue) {
+         aWorker.LoseStarts(aValue.to_number<std::uint64_t>());
+         return true;
+       } } });
+}
+
+absl::Status
+Run(const gpStandInOptions& aOptions)
+{
+  gpEventLoop loop;
+  gpTimerService timers(loop);
+  gpWorkerStandIn worker(loop, timers);
+  gpControlServer control(
+    loop,
+    { .apply_ = [&](const std::string& aBody) { return Apply(worker, aBody); },
+      .show_ =
+        [&](const std::string& /*aTarget*/) {
+          return boost::json::serialize(worker.Show());
+        } });
+  const absl::StatusOr<gpAddress> address = worker.Listen(aOptions.listen_);
+  if (!address.ok()) {
+    return address.status();
+  }
+  gpPrintListening("service", *address);
+  if (absl::Status status = control.Listen(aOptions.control_); !status.ok()) {
+    return status;
+  }
+  loop.OnTerminate([&] { loop.Stop(); });
+  loop.Run();
+  return absl::OkStatus();
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  const boost::program_options::options_description own("gp-stand-in-worker");
+  gpStandInOptions options;
+  if (!gpParseStandInOptions(aCount, aArguments, own, options)) {
+    return 2;
+  }
+  return gpExitCode(Run(options));
+}
--- /dev/null
+++ b/Tests/StandIns/gpWorkerStandIn.cxx
@@ -0,0 +1,245 @@
+#include "gpWorkerStandIn.h"
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include "gpEventLoop.h"
+
+namespace {
+
+constexpr gpMillis kBeat{ 200 };
+constexpr gpMillis kLook{ 5 };
+constexpr int kConflict = 409;
+constexpr std::uint64_t kMilliCores = 4000;
+
+std::uint64_t
+Born()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<gpMillis>(now).count());
+}
+
+std::string
+DrawId()
+{
+  std::random_device device;
+  return "i-" + std::to_string(device());
+}
+
+gpRunId
+RunOf(const boost::json::object& aBody)
+{
+  return { std::string(aBody.at("task").as_string()),
+           aBody.at("run").to_number<std::uint64_t>() };
+}
+
+std::uint64_t
+FenceOf(const boost::json::object& aBody)
+{
+  const boost::json::value* fence = aBody.if_contains("fence");
+  return fence == nullptr ? 0 : fence->to_number<std::uint64_t>();
+}
+
+const char*
+ReasonOf(gpOrderReply aReply)
+{
+  switch (aReply) {
+    case gpOrderReply::Fence:
+      return "fence";
+    case gpOrderReply::Outdated:
+      return "old";
+    case gpOrderReply::Late:
+      return "late";
+    default:
+      return "room";
+  }
+}
+
+const char*
+EndName(gpRunEnd aEnd)
+{
+  if (aEnd == gpRunEnd::Done) {
+    return "done";
+  }
+  return aEnd == gpRunEnd::Failed ? "failed" : "stopped";
+}
+
+} // namespace
+
+gpWorkerStandIn::gpWorkerStandIn(gpEventLoop& aLoop, gpTimerService& aTimers)
+  : timers_(aTimers)
+  , server_(aLoop,
+            {},
+            { [this](gpRequestId aRequest, const gpHttpRequest& aHttp) {
+               OnRequest(aRequest, aHttp);
+             },
+              [](gpRequestId) {} })
+  , client_(aLoop, 2)
+  , target_(DrawId(), Born(), 1.0, gpEventLoop::Now())
+{
+}
+
+absl::StatusOr<gpAddress>
+gpWorkerStandIn::Listen(const gpAddress& aAddress)
+{
+  return server_.Listen(aAddress);
+}
+
+void
+gpWorkerStandIn::SetGuard(const gpAddress& aGuard)
+{
+  guard_ = aGuard;
+  if (!std::exchange(beating_, true)) {
+    Beat();
+  }
+}
+
+void
+gpWorkerStandIn::Beat()
+{
+  gpHttpRequest request;
+  request.method_ = "PUT";
+  request.target_ = "/v1/instances/" + target_.GetId();
+  request.body_ = boost::json::serialize(boost::json::object{
+    { "service", "ponds" },
+    { "state", draining_ ? "draining" : "ready" },
+    { "capacity", { { "cpu", kMilliCores }, { "memMb", 1024 }, { "gpu", 0 } } },
+    { "labels", { "a", "r1-1" } },
+    { "born", target_.GetBorn() },
+    { "clockMs", target_.GetClock(gpEventLoop::Now()) },
+    { "sequence", ++sequence_ } });
+  client_.Call(guard_, std::move(request), kBeat, [](const gpHttpReply&) {});
+  timers_.Subscribe(gpEventLoop::Now() + kBeat, [this] { Beat(); });
+}
+
+void
+gpWorkerStandIn::OnRequest(gpRequestId aRequest, const gpHttpRequest& aHttp)
+{
+  const boost::json::value parsed = boost::json::parse(aHttp.body_);
+  const boost::json::object& body = parsed.as_object();
+  if (aHttp.target_ == "/v1/run-start") {
+    gpHttpResponse response = OnStart(body);
+    if (loseStarts_ > 0) {
+      --loseStarts_;
+      return;
+    }
+    server_.Respond(aRequest, std::move(response));
+  } else if (aHttp.target_ == "/v1/run-stop") {
+    server_.Respond(aRequest, OnStop(body));
+  } else {
+    OnHold(aRequest, body);
+  }
+}
+
+gpHttpResponse
+gpWorkerStandIn::OnStart(const boost::json::object& aBody)
+{
+  gpStartRun order;
+  order.run_ = RunOf(aBody);
+  order.fence_ = FenceOf(aBody);
+  order.leaseEnd_ = aBody.at("deadlineMs").to_number<std::uint64_t>();
+  const boost::json::value spec =
+    boost::json::parse(aBody.at("spec").as_string());
+  gpSimRun run;
+  run.run_ = order.run_;
+  run.endsAt_ =
+    gpEventLoop::Now() +
+    gpMillis(spec.as_object().at("run_ms").to_number<std::int64_t>());
+  run.fails_ = spec.as_object().contains("fails");
+  const bool isNew = !target_.GetRunning().contains(order.run_);
+  const gpOrderReply reply = target_.Start(order, run, gpEventLoop::Now());
+  if (reply == gpOrderReply::Accepted && isNew) {
+    ++starts_[order.run_.task_];
+  }
+  return Answer(reply);
+}
+
+gpHttpResponse
+gpWorkerStandIn::OnStop(const boost::json::object& aBody)
+{
+  gpStopRun order;
+  order.run_ = RunOf(aBody);
+  order.fence_ = FenceOf(aBody);
+  return Answer(target_.Stop(order, gpEventLoop::Now()));
+}
+
+gpHttpResponse
+gpWorkerStandIn::Answer(gpOrderReply aReply) const
+{
+  gpHttpResponse response;
+  boost::json::object body{ { "clockMs",
+                              target_.GetClock(gpEventLoop::Now()) } };
+  if (aReply != gpOrderReply::Accepted) {
+    response.status_ = kConflict;
+    body["reason"] = ReasonOf(aReply);
+  }
+  response.body_ = boost::json::serialize(body);
+  return response;
+}
+
+void
+gpWorkerStandIn::OnHold(gpRequestId aRequest, const boost::json::object& aBody)
+{
+  gpLookAtTarget look;
+  look.fence_ = FenceOf(aBody);
+  look.seenEnds_ = aBody.at("ackCursor").to_number<std::uint64_t>();
+  if (const auto* end = aBody.if_contains("deadlineMs")) {
+    look.leaseEnd_ = end->to_number<std::uint64_t>();
+  }
+  if (const auto* wait = aBody.if_contains("waitMs")) {
+    look.wait_ = gpMillis(wait->to_number<std::int64_t>());
+  }
+  AnswerHold(aRequest, look);
+}
+
+void
+gpWorkerStandIn::AnswerHold(gpRequestId aRequest, const gpLookAtTarget& aLook)
+{
+  const gpTargetSeen seen = target_.Look(aLook, gpEventLoop::Now());
+  const bool isAccepted = seen.reply_ == gpOrderReply::Accepted;
+  if (isAccepted && seen.ended_.empty() && aLook.wait_ > gpMillis(0)) {
+    gpLookAtTarget again = aLook;
+    again.leaseEnd_.reset();
+    again.wait_ -= std::min(kLook, again.wait_);
+    timers_.Subscribe(gpEventLoop::Now() + kLook,
+                      [this, aRequest, again] { AnswerHold(aRequest, again); });
+    return;
+  }
+  if (!isAccepted) {
+    server_.Respond(aRequest, Answer(seen.reply_));
+    return;
+  }
+  boost::json::array running;
+  for (const gpRunId& run : seen.running_) {
+    running.push_back({ run.task_, run.number_, "", 0 });
+  }
+  boost::json::array finished;
+  for (const gpEndedRun& end : seen.ended_) {
+    finished.push_back({ end.position_,
+                         end.run_.task_,
+                         end.run_.number_,
+                         EndName(end.end_),
+                         "" });
+  }
+  gpHttpResponse response;
+  response.body_ =
+    boost::json::serialize(boost::json::object{ { "clockMs", seen.clock_ },
+                                                { "born", seen.born_ },
+                                                { "running", running },
+                                                { "finished", finished } });
+  server_.Respond(aRequest, std::move(response));
+}
+
+boost::json::object
+gpWorkerStandIn::Show()
+{
+  target_.Advance(gpEventLoop::Now());
+  boost::json::object starts;
+  for (const auto& [task, count] : starts_) {
+    starts[task] = count;
+  }
+  return { { "starts", starts }, { "running", target_.GetRunning().size() } };
+}
--- a/Tests/Wire/gpSampleMessages.cxx
+++ b/Tests/Wire/gpSampleMessages.cxx
@@ -92,13 +92,32 @@
            gpNewsRequest{ gpConfigVersion(41), gpRosterEpoch(7) } };
 }
 
+std::vector<gpMessage>
+RunMessages()
+{
+  const gpRunId run{ "5c0e7a21d94b36f8.0.1.17", 1767773015591U };
+  const gpResources needs{ 6200, 64, 1 };
+  return { gpRunOrder{ "spec", needs, { run, { "other", 2 } } },
+           gpRunCancel{ { run } },
+           gpRunReport{ run, gpRunEnd::Outdated, gpMicros(81234) },
+           gpRunsHeld{ { run, run } },
+           gpTargetNews{ gpServiceName("pond-order"),
+                         gpDataCentreName("dc-1"),
+                         { "a", "r1-3" },
+                         needs,
+                         true },
+           gpRoomReport{ needs, 42 },
+           gpEntryAddresses{ { gpAddress("10.0.0.1:7000") } } };
+}
+
 } // namespace
 
 std::vector<gpMessage>
 gpSampleMessages()
 {
   std::vector<gpMessage> all = ClaimMessages();
-  for (const auto& family : { StartMessages(), NewsMessages() }) {
+  for (const auto& family :
+       { StartMessages(), NewsMessages(), RunMessages() }) {
     all.insert(all.end(), family.begin(), family.end());
   }
   return all;
@@ -120,5 +139,12 @@
     gpSlotReport{},
     gpConfigurationNews{},
     gpRosterNews{},
+    gpRunOrder{},
+    gpRunCancel{},
+    gpRunReport{},
+    gpRunsHeld{},
+    gpTargetNews{},
+    gpRoomReport{},
+    gpEntryAddresses{},
   };
 }
