Process: Bound the log, never wait for its reader, and serve metrics

Each kind of line has a token bucket; a full pipe drops the line; what was dropped is counted and reported each second. The decisions of entries name the age of what decided them.

--- a/Source/Configuration/gpLeaseSettingsFile.cxx
+++ b/Source/Configuration/gpLeaseSettingsFile.cxx
@@ -67,6 +67,9 @@
     aRoot.Object("links"), "listen", kListenRule, aSettings.linkListen_);
   ReadAddress(
     aRoot.Object("status"), "listen", kListenRule, aSettings.statusListen_);
+  gpJsonObject metrics = aRoot.Object("metrics");
+  metrics.Text("listen", aSettings.metricsListen_, kListenRule);
+  metrics.Finish();
   ReadAddress(aRoot.Object("store"), "address", kAddressRule, aSettings.store_);
   ReadEntries(aRoot.Object("entries"), aSettings.entries_);
   gpJsonObject eventLog = aRoot.Object("event_log");
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -46,6 +46,13 @@
   return gpMillis(std::llround(static_cast<double>(aTime.count()) * aFactor));
 }
 
+std::string
+MillisText(gpMicros aTime)
+{
+  return std::to_string(std::chrono::duration_cast<gpMillis>(aTime).count()) +
+         " ms";
+}
+
 } // namespace
 
 gpLeaseEntryReducer::gpLeaseEntryReducer(gpLeaseEntryOptions aOptions)
@@ -451,7 +458,7 @@
 {
   const auto guard = guards_.find(aLink);
   if (guard != guards_.end()) {
-    board_.OnRoom(guard->second, aMessage);
+    board_.OnRoom(guard->second, aMessage, now_);
   }
 }
 
@@ -642,7 +649,8 @@
     aJob,
     task.run_,
     aGuard,
-    "free " + std::to_string(view.GetFree().milliCores_) + " mcores slowness " +
+    "free " + std::to_string(view.GetFree().milliCores_) + " mcores as of " +
+      MillisText(now_ - view.reportedAt_) + " ago, slowness " +
       std::to_string(Scaled(gpMillis(100), view.slowness_).count()) + " %");
 }
 
--- a/Source/Lease/gpTargetBoard.cxx
+++ b/Source/Lease/gpTargetBoard.cxx
@@ -124,13 +124,16 @@
 }
 
 void
-gpTargetBoard::OnRoom(gpIncarnation aGuard, const gpRoomReport& aRoom)
+gpTargetBoard::OnRoom(gpIncarnation aGuard,
+                      const gpRoomReport& aRoom,
+                      gpTime aNow)
 {
   gpTargetView* view = Find(aGuard);
   if (view == nullptr) {
     return;
   }
   view->reportedFree_ = aRoom.free_;
+  view->reportedAt_ = aNow;
   while (!view->unreported_.empty() &&
          view->unreported_.front().first <= aRoom.runsSeen_) {
     view->unreported_.pop_front();
--- a/Source/Lease/gpTargetBoard.h
+++ b/Source/Lease/gpTargetBoard.h
@@ -22,6 +22,7 @@
   gpLinkId link_;
   gpTargetNews news_;
   gpResources reportedFree_;
+  gpTime reportedAt_;
   /// Runs ordered on this link; the first ones are in the guard's reports.
   std::uint64_t runsOrdered_ = 0;
   /// Needs of the ordered runs that no report takes into account yet, each with
@@ -78,7 +79,7 @@
   void OnLinked(gpIncarnation aGuard, gpLinkId aLink);
   void OnLost(gpIncarnation aGuard) { views_.erase(aGuard); }
   void OnNews(gpIncarnation aGuard, const gpTargetNews& aNews);
-  void OnRoom(gpIncarnation aGuard, const gpRoomReport& aRoom);
+  void OnRoom(gpIncarnation aGuard, const gpRoomReport& aRoom, gpTime aNow);
 
   gpTargetView* Find(gpIncarnation aGuard);
   const std::map<gpIncarnation, gpTargetView>& GetAll() const { return views_; }
--- a/Source/Model/gpLeaseSettings.h
+++ b/Source/Model/gpLeaseSettings.h
@@ -17,8 +17,10 @@
   gpSite site_;
   /// Where callers submit jobs; for entries.
   gpAddress callersListen_;
-  /// Where the balancer asks whether the entry is ready, with the metrics.
+  /// Where the balancer asks whether the process is ready.
   gpAddress statusListen_;
+  /// Where the metrics are read; empty: where the status is.
+  gpAddress metricsListen_;
   /// Where other processes of the system connect.
   gpAddress linkListen_;
   /// Entries to begin with; may be out of date.
--- a/Source/Model/gpTimelineEvent.cxx
+++ b/Source/Model/gpTimelineEvent.cxx
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 40> kKindNames = {
+constexpr std::array<std::string_view, 41> kKindNames = {
   "process_started",
   "listening",
   "process_stopping",
@@ -46,6 +46,7 @@
   "bad_input",
   "settings_reloaded",
   "settings_rejected",
+  "lines_dropped",
 };
 
 } // namespace
--- a/Source/Model/gpTimelineEvent.h
+++ b/Source/Model/gpTimelineEvent.h
@@ -50,6 +50,7 @@
   BadInput,
   SettingsReloaded,
   SettingsRejected,
+  LinesDropped,
 };
 
 /** \class gpTimelineEvent
--- a/Source/Process/gpLeaseNode.cxx
+++ b/Source/Process/gpLeaseNode.cxx
@@ -40,12 +40,8 @@
                          gpLinkService::Handlers aLinks,
                          StatusHandlers aStatus)
   : gpNode(MakeNodeOptions(aSettings, aRole), std::move(aLinks))
-  , status_(loop_,
-            gpHttpLimits{},
-            { [this](gpRequestId aRequest, const gpHttpRequest& aHttp) {
-               OnStatusRequest(aRequest, aHttp);
-             },
-              [](gpRequestId) {} })
+  , status_(loop_, gpHttpLimits{}, MakeStatusHandlers(status_))
+  , metricsServer_(loop_, gpHttpLimits{}, MakeStatusHandlers(metricsServer_))
   , settings_(aSettings)
   , statusHandlers_(std::move(aStatus))
 {
@@ -58,14 +54,35 @@
   if (!status.ok()) {
     return status;
   }
-  const auto listening = status_.Listen(settings_.statusListen_);
-  if (!listening.ok()) {
-    return listening.status();
+  status = ListenForStatus(status_, "status", settings_.statusListen_);
+  if (status.ok() && !settings_.metricsListen_.value_.empty()) {
+    status =
+      ListenForStatus(metricsServer_, "metrics", settings_.metricsListen_);
   }
-  NoteListening("status", *listening);
   return status;
 }
 
+absl::Status
+gpLeaseNode::ListenForStatus(gpHttpServer& aServer,
+                             const char* aPurpose,
+                             const gpAddress& aAddress)
+{
+  const auto listening = aServer.Listen(aAddress);
+  if (listening.ok()) {
+    NoteListening(aPurpose, *listening);
+  }
+  return listening.status();
+}
+
+gpHttpServer::Handlers
+gpLeaseNode::MakeStatusHandlers(gpHttpServer& aServer)
+{
+  return { [this, &aServer](gpRequestId aRequest, const gpHttpRequest& aHttp) {
+            aServer.Respond(aRequest, AnswerStatus(aHttp));
+          },
+           [](gpRequestId) {} };
+}
+
 void
 gpLeaseNode::WatchSettings(const std::string& aFile, const std::string& aText)
 {
@@ -163,8 +180,8 @@
   Write(event);
 }
 
-void
-gpLeaseNode::OnStatusRequest(gpRequestId aRequest, const gpHttpRequest& aHttp)
+gpHttpResponse
+gpLeaseNode::AnswerStatus(const gpHttpRequest& aHttp)
 {
   gpHttpResponse response;
   if (aHttp.target_ == kReadyPath) {
@@ -180,7 +197,7 @@
     response.status_ = kNotFound;
     response.body_ = R"({"error":"not_found"})";
   }
-  status_.Respond(aRequest, std::move(response));
+  return response;
 }
 
 std::string
--- a/Source/Process/gpLeaseNode.h
+++ b/Source/Process/gpLeaseNode.h
@@ -60,14 +60,19 @@
 protected:
   ~gpLeaseNode() = default;
 
-  gpHttpServer status_;
-
 private:
-  void OnStatusRequest(gpRequestId aRequest, const gpHttpRequest& aHttp);
+  /// Serves readiness, status and metrics.
+  gpHttpServer::Handlers MakeStatusHandlers(gpHttpServer& aServer);
+  gpHttpResponse AnswerStatus(const gpHttpRequest& aHttp);
+  absl::Status ListenForStatus(gpHttpServer& aServer,
+                               const char* aPurpose,
+                               const gpAddress& aAddress);
   std::string RenderStatus() const;
   void StopGracefully();
   void OnSettings(const std::string& aText);
 
+  gpHttpServer status_;
+  gpHttpServer metricsServer_;
   gpLeaseSettings settings_;
   StatusHandlers statusHandlers_;
   std::optional<gpConfigurationNews> news_;
--- a/Source/Process/gpNode.cxx
+++ b/Source/Process/gpNode.cxx
@@ -7,6 +7,12 @@
 
 namespace {
 
+/// Lines of one kind that are written in a second; a busy entry decides on some
+/// hundred tasks.
+constexpr std::uint32_t kLinesPerSecond = 1000;
+/// Period in which dropped lines are reported.
+constexpr gpMillis kDroppedPeriod{ 1000 };
+
 gpIncarnation
 DrawIncarnation()
 {
@@ -45,6 +51,7 @@
   started.kind_ = gpEventKind::ProcessStarted;
   started.detail_ = GP_VERSION;
   Write(started);
+  ReportDropped();
   const auto links = links_.Listen(options_.linkListen_);
   if (!links.ok()) {
     return links.status();
@@ -68,7 +75,11 @@
 void
 gpNode::Write(const gpTimelineEvent& aEvent)
 {
-  eventLog_.Write(aEvent);
+  gpTokenBucket& limit =
+    logLimits_.try_emplace(aEvent.kind_, kLinesPerSecond).first->second;
+  if (!limit.Take(gpEventLoop::Now()) || !eventLog_.Write(aEvent)) {
+    ++droppedLines_;
+  }
   metrics_
     .Counter("gypsumpoint_events_total",
              "Events of the time line by kind",
@@ -76,6 +87,26 @@
     .Add();
 }
 
+void
+gpNode::ReportDropped()
+{
+  timers_.Subscribe(gpEventLoop::Now() + kDroppedPeriod,
+                    [this] { ReportDropped(); });
+  if (droppedLines_ == 0) {
+    return;
+  }
+  gpTimelineEvent event;
+  event.kind_ = gpEventKind::LinesDropped;
+  event.number_ = droppedLines_;
+  if (eventLog_.Write(event)) {
+    metrics_
+      .Counter("gypsumpoint_log_lines_dropped_total",
+               "Lines of the time line that were not written")
+      .Add(droppedLines_);
+    droppedLines_ = 0;
+  }
+}
+
 void
 gpNode::Send(gpLinkId aLink, gpMessage aMessage)
 {
--- a/Source/Process/gpNode.h
+++ b/Source/Process/gpNode.h
@@ -13,6 +13,7 @@
 #include "gpMetrics.h"
 #include "gpPeer.h"
 #include "gpTimerService.h"
+#include "gpTokenBucket.h"
 
 /** \class gpNodeOptions
  * \brief What every process of the system is told at its start.
@@ -42,7 +43,9 @@
 
   /// Who this process is. The address is known after Open.
   const gpPeer& GetSelf() const { return self_; }
-  /// Writes one line of the time line and counts it.
+  /// Writes one line of the time line and counts it. Lines over the limit of
+  /// their kind, and those that the reader is too slow for, are dropped and
+  /// counted.
   void Write(const gpTimelineEvent& aEvent);
   /// Sends a message and counts it by kind.
   void Send(gpLinkId aLink, gpMessage aMessage);
@@ -75,10 +78,14 @@
   const std::map<gpLinkId, gpIncarnation>& GetPeers() const { return peers_; }
 
 private:
+  /// Says how many lines were dropped since the last time.
+  void ReportDropped();
   gpLinkService::Handlers WithBadInput(gpLinkService::Handlers aHandlers);
 
   gpNodeOptions options_;
   gpPeer self_;
   gpTimerId wake_;
+  std::map<gpEventKind, gpTokenBucket> logLimits_;
+  std::uint64_t droppedLines_ = 0;
   std::map<gpLinkId, gpIncarnation> peers_;
 };
--- a/Source/Runtime/gpEventLog.cxx
+++ b/Source/Runtime/gpEventLog.cxx
@@ -18,6 +18,9 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include "gpError.h"
 #include "gpLamportClock.h"
 #include "gpTime.h"
@@ -115,6 +118,15 @@
   return ascii;
 }
 
+/// Whether a line can be written without waiting: a pipe that is writable takes
+/// at least PIPE_BUF bytes, more than a line has.
+bool
+IsOutputWritable()
+{
+  pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+  return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
 void
 AddEventFields(boost::json::object& aLine, const gpTimelineEvent& aEvent)
 {
@@ -184,6 +196,7 @@
   log4cxx::HierarchyPtr hierarchy_ = log4cxx::Hierarchy::create();
   /// Null until Open has succeeded.
   log4cxx::LoggerPtr logger_;
+  bool isStandardOutput_ = false;
 };
 
 gpEventLog::gpEventLog(gpLamportClock& aClock)
@@ -205,6 +218,7 @@
   impl_->role_ = aRole;
   impl_->process_ = aProcess;
   impl_->incarnation_ = aIncarnation;
+  impl_->isStandardOutput_ = aFile == kStandardOutput;
   if (aFile != kStandardOutput) {
     absl::Status status = CheckWritable(aFile);
     if (!status.ok()) {
@@ -221,9 +235,12 @@
   return absl::OkStatus();
 }
 
-void
+bool
 gpEventLog::Write(const gpTimelineEvent& aEvent)
 {
+  if (impl_->isStandardOutput_ && !IsOutputWritable()) {
+    return false;
+  }
   boost::json::object line = {
     { Fields::kEvent, gpEventKindName(aEvent.kind_) },
     { Fields::kTime, TimeText() },
@@ -237,4 +254,5 @@
     impl_->logger_->forcedLog(log4cxx::Level::getInfo(),
                               ToAscii(boost::json::serialize(line)));
   }
+  return true;
 }
--- a/Source/Runtime/gpEventLog.h
+++ b/Source/Runtime/gpEventLog.h
@@ -29,7 +29,9 @@
                     gpRole aRole,
                     const std::string& aProcess,
                     gpIncarnation aIncarnation);
-  void Write(const gpTimelineEvent& aEvent);
+  /// False if the line was dropped, because the reader of the standard output
+  /// is too slow: the process never waits for it.
+  bool Write(const gpTimelineEvent& aEvent);
 
 private:
   struct Impl;
--- a/Tests/Lease/testLeaseParts.cxx
+++ b/Tests/Lease/testLeaseParts.cxx
@@ -33,7 +33,7 @@
     news.capacity_ = Cores(64000);
     news.takesWork_ = true;
     board_.OnNews(guard, news);
-    board_.OnRoom(guard, { Cores(aFree), 0 });
+    board_.OnRoom(guard, { Cores(aFree), 0 }, kNow);
     const gpMillis estimate(100);
     for (int run = 0; run < 200; ++run) {
       gpRunReport report;
@@ -107,7 +107,7 @@
   const gpRunId run{ "job.0.0.0", 1 };
   board.board_.NoteSent(gpIncarnation(1), run, Cores(6000), gpMillis(50), kNow);
   BOOST_CHECK(!board.Choose(gpMillis(50)).has_value());
-  board.board_.OnRoom(gpIncarnation(1), { Cores(10000), 1 });
+  board.board_.OnRoom(gpIncarnation(1), { Cores(10000), 1 }, kNow);
   BOOST_CHECK(board.Choose(gpMillis(50)).has_value());
 }
 
--- a/Tests/Runtime/testEventLog.cxx
+++ b/Tests/Runtime/testEventLog.cxx
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE gpEventLog
 #include <boost/test/unit_test.hpp>
 
+#include <unistd.h>
+
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -10,6 +12,7 @@
 #include "gpEventLog.h"
 #include "gpLamportClock.h"
 #include "gpTimelineReader.h"
+#include "gpTokenBucket.h"
 
 namespace {
 
@@ -166,3 +169,43 @@
   BOOST_TEST(gpErrorText(file->errors_[3]) == file_ + ":6: no JSON object");
   BOOST_TEST((gpErrorCodeOf(file->errors_[3]) == gpErrorCode::BadRecord));
 }
+
+BOOST_AUTO_TEST_CASE(AReaderThatDoesNotReadHoldsNothingUp)
+{
+  constexpr int kMoreLinesThanAPipeHolds = 10000;
+  int ends[2];
+  BOOST_REQUIRE(pipe(ends) == 0);
+  const int output = dup(STDOUT_FILENO);
+  dup2(ends[1], STDOUT_FILENO);
+  bool dropped = false;
+  {
+    gpLamportClock clock;
+    gpEventLog log(clock);
+    BOOST_REQUIRE(
+      log.Open("-", gpRole::Entry, "entry-1", gpIncarnation(1)).ok());
+    for (int line = 0; line < kMoreLinesThanAPipeHolds && !dropped; ++line) {
+      dropped = !log.Write(gpTimelineEvent{});
+    }
+  }
+  dup2(output, STDOUT_FILENO);
+  close(output);
+  close(ends[0]);
+  close(ends[1]);
+  BOOST_TEST(dropped);
+}
+
+BOOST_AUTO_TEST_CASE(ABucketLetsABurstAndThenARatePass)
+{
+  gpTokenBucket bucket(10);
+  gpTime now{ gpMillis(1000) };
+  int passed = 0;
+  for (int event = 0; event < 30; ++event) {
+    passed += bucket.Take(now) ? 1 : 0;
+  }
+  BOOST_TEST(passed == 10);
+  now += gpMillis(500);
+  for (int event = 0; event < 30; ++event) {
+    passed += bucket.Take(now) ? 1 : 0;
+  }
+  BOOST_TEST(passed == 15);
+}
