--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -9,7 +9,7 @@
 
 /// How long a look may wait at the target for the end of a run. Several looks
 /// may be lost before the lease ends.
-constexpr gpMillis kLookWait{ 100 };
+constexpr gpMillis kLookWait{ 60 };
 /// Pause after a look that was not answered.
 constexpr gpMillis kLookRetry{ 20 };
 /// The same at a target without runs. A look is always under way, so that the
@@ -79,7 +79,7 @@
 gpLeaseGuardReducer::TakesWork() const
 {
   return target_.IsKnown() && target_.IsConfirmed() && looked_ &&
-         strangers_.empty() && !target_.IsLeaving() && !target_.IsSilent() &&
+         strangers_.empty() && !target_.IsLeaving() && !target_.IsSilent(now_) &&
          shutdownEnd_ == gpTime::max();
 }
 
@@ -320,6 +320,9 @@
 gpLeaseGuardReducer::On(const gpStartReplied& aEvent)
 {
   target_.NoteClock(aEvent.clock_, now_);
+  if (aEvent.reply_ == gpOrderReply::Accepted) {
+    target_.NoteAnswer(now_);
+  }
   gpGuardRun* run = runs_.Find(aEvent.run_);
   if (run == nullptr) {
     return;
@@ -391,7 +394,6 @@
     if (aEvent.reply_ == gpOrderReply::Fence) {
       target_.RaiseFence();
     }
-    target_.NoteSilence();
     nextLookAt_ = now_ + kLookRetry;
     // Without a listener there is no target, so what it had confirmed before
     // the look has ended with it. Later orders may have met its successor.
@@ -402,7 +404,7 @@
     }
     return;
   }
-  target_.NoteAnswer();
+  target_.NoteAnswer(now_);
   looked_ = true;
   for (const gpEndedRun& ended : aEvent.ended_) {
     if (ended.position_ > seenEnds_) {
@@ -428,7 +430,7 @@
 void
 gpLeaseGuardReducer::On(const gpTimePassed&)
 {
-  if (target_.IsSilent() && !runs_.IsEmpty() && target_.HasLapsed(now_)) {
+  if (target_.IsSilent(now_) && !runs_.IsEmpty() && target_.HasLapsed(now_)) {
     WriteTarget(gpEventKind::TargetLeaving, "silent until its lease lapsed");
     FinishAll();
   }
@@ -458,7 +460,7 @@
   look.fence_ = target_.GetFence();
   look.seenEnds_ = seenEnds_;
   look.wait_ = kIdleLookWait;
-  if (!runs_.IsEmpty() && !target_.IsSilent()) {
+  if (!runs_.IsEmpty() && !target_.IsSilent(now_)) {
     look.leaseEnd_ = target_.ExtendLease(now_);
     look.wait_ = kLookWait;
   } else if (!looked_ || !strangers_.empty()) {
--- a/Source/Lease/gpTargetSession.h
+++ b/Source/Lease/gpTargetSession.h
@@ -27,8 +27,8 @@
   bool NoteBorn(std::uint64_t aBorn);
   /// Notes the target's clock, in ms, as of an answer that came now.
   void NoteClock(std::uint64_t aClock, gpTime aNow);
-  void NoteAnswer() { silences_ = 0; }
-  void NoteSilence() { ++silences_; }
+  /// The target answered a call, whatever it said.
+  void NoteAnswer(gpTime aNow) { answeredAt_ = aNow; }
   void RaiseFence() { fence_ += kFenceStep; }
   /// The target said that it ends.
   void NoteEnded() { ended_ = true; }
@@ -39,7 +39,12 @@
   /// Whether the last heartbeat is of the incarnation that answers.
   bool IsConfirmed() const { return target_->born_ == toldBorn_; }
   const gpTargetAnnouncement& Get() const { return *target_; }
-  bool IsSilent() const { return silences_ >= kSilencesToGiveUp; }
+  /// Whether it hasn't answered for so long that it gets no more work. Single
+  /// answers may be lost.
+  bool IsSilent(gpTime aNow) const
+  {
+    return aNow - answeredAt_ > kLongestSilence;
+  }
   bool IsLeaving() const { return ended_ || target_->draining_; }
   std::uint64_t GetFence() const { return fence_; }
   /// A new end of the lease, in ms on the target's clock; noted as sent.
@@ -49,8 +54,8 @@
 
 private:
   static constexpr std::uint64_t kFenceStep = 1000;
-  /// Answers that are missing in a row before no more work is given.
-  static constexpr int kSilencesToGiveUp = 4;
+  /// Several calls are made within this time.
+  static constexpr gpMillis kLongestSilence{ 450 };
 
   std::optional<gpTargetAnnouncement> target_;
   /// The incarnation that the target told last in an answer; 0 if none.
@@ -59,6 +64,6 @@
   std::uint64_t clock_ = 0;
   gpTime clockAt_;
   gpTime lapsedAt_;
-  int silences_ = 0;
+  gpTime answeredAt_;
   bool ended_ = false;
 };
