Runtime: Let the time go on while the machine is suspended

Cause: the steady clock stands still while a machine is suspended, so a guard that wakes would have taken orders from before for fresh ones, though their entry had placed the tasks elsewhere (two runs at one time). Found by reading; the histories' freezes show it with a clock that stands still.

--- a/Source/Runtime/gpEventLoop.cxx
+++ b/Source/Runtime/gpEventLoop.cxx
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <ctime>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -58,6 +59,11 @@
 gpTime
 gpEventLoop::Now()
 {
-  const auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return gpTime(std::chrono::duration_cast<gpMicros>(now));
+  // Unlike that of std::chrono::steady_clock, this time goes on while the
+  // machine is suspended, so that leases are seen to have lapsed.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return gpTime(std::chrono::seconds(now.tv_sec) +
+                std::chrono::duration_cast<gpMicros>(
+                  std::chrono::nanoseconds(now.tv_nsec)));
 }
--- a/Source/Runtime/gpEventLoop.h
+++ b/Source/Runtime/gpEventLoop.h
@@ -29,7 +29,7 @@
   void OnTerminate(std::function<void()> aHandler);
   /// Calls the handler on each SIGHUP.
   void OnReload(std::function<void()> aHandler);
-  /// The local monotonic time.
+  /// The local monotonic time, which goes on while the machine is suspended.
   static gpTime Now();
 
   /// The Asio context, for classes of this folder.
--- a/Source/Runtime/gpTimerService.cxx
+++ b/Source/Runtime/gpTimerService.cxx
@@ -64,8 +64,8 @@
     }
     armed_ = true;
     armedFor_ = first;
-    timer_.expires_at(
-      std::chrono::steady_clock::time_point(first.time_since_epoch()));
+    // Asio's clock stands still while the machine is suspended; ours doesn't.
+    timer_.expires_after(first - now);
     timer_.async_wait([weak = weak_from_this(), first](const auto& aError) {
       const auto self = weak.lock();
       if (self && !aError) {
