--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -79,8 +79,8 @@
 gpLeaseGuardReducer::TakesWork() const
 {
   return target_.IsKnown() && target_.IsConfirmed() && looked_ &&
-         strangers_.empty() && !target_.IsLeaving() && !target_.IsSilent(now_) &&
-         shutdownEnd_ == gpTime::max();
+         strangers_.empty() && !target_.IsLeaving() &&
+         !target_.IsSilent(now_) && shutdownEnd_ == gpTime::max();
 }
 
 void
--- a/Source/Process/gpStoreFollower.cxx
+++ b/Source/Process/gpStoreFollower.cxx
@@ -67,7 +67,8 @@
   }
   failures_ = 0;
   hasNewest_ = true;
-  if (!std::exchange(isCurrent_, true) || !std::exchange(wasTold_, true)) {
+  const bool wasCurrent = std::exchange(isCurrent_, true);
+  if (!std::exchange(wasTold_, true) || !wasCurrent) {
     handlers_.health_(absl::OkStatus());
   }
   next_ = aPage->next_;
@@ -85,7 +86,8 @@
     ReadNewest();
     return;
   }
-  if (std::exchange(isCurrent_, false) || !std::exchange(wasTold_, true)) {
+  const bool wasCurrent = std::exchange(isCurrent_, false);
+  if (!std::exchange(wasTold_, true) || wasCurrent) {
     handlers_.health_(aStatus);
   }
   const int doublings = std::min(failures_++, kMostDoublings);
