--- /dev/null
+++ b/Source/Lease/gpEntryLinks.cxx
@@ -0,0 +1,100 @@
+#include "gpEntryLinks.h"
+
+#include <utility>
+
+namespace {
+
+/// Entries that were not told anything else learn of free room so late at most.
+constexpr gpMillis kRoomPeriod{ 4 };
+
+} // namespace
+
+void
+gpEntryLinks::Open(gpLinkId aLink, gpIncarnation aEntry)
+{
+  links_[aLink].entry_ = aEntry;
+}
+
+std::optional<gpIncarnation>
+gpEntryLinks::Close(gpLinkId aLink)
+{
+  const auto found = links_.find(aLink);
+  if (found == links_.end()) {
+    return std::nullopt;
+  }
+  const gpIncarnation entry = found->second.entry_;
+  links_.erase(found);
+  return entry;
+}
+
+std::vector<gpLinkId>
+gpEntryLinks::CloseAll()
+{
+  std::vector<gpLinkId> closed;
+  for (const auto& [id, link] : std::exchange(links_, {})) {
+    closed.push_back(id);
+  }
+  return closed;
+}
+
+gpIncarnation
+gpEntryLinks::GetEntry(gpLinkId aLink) const
+{
+  return links_.at(aLink).entry_;
+}
+
+void
+gpEntryLinks::Report(gpLinkId aLink, gpRunReport aReport, gpLeaseEffects& aOut)
+{
+  links_.at(aLink).sentNow_ = true;
+  aOut.Send(aLink, std::move(aReport));
+}
+
+void
+gpEntryLinks::Report(gpIncarnation aEntry,
+                     gpRunReport aReport,
+                     gpLeaseEffects& aOut)
+{
+  for (const auto& [id, link] : links_) {
+    if (link.entry_ == aEntry) {
+      Report(id, std::move(aReport), aOut);
+      return;
+    }
+  }
+}
+
+void
+gpEntryLinks::Tell(const gpTargetNews& aNews,
+                   const gpResources& aFree,
+                   gpTime aNow,
+                   gpLeaseEffects& aOut)
+{
+  const bool isTime = aNow >= nextTellAt_;
+  for (auto& [id, link] : links_) {
+    const bool isFirst = !std::exchange(link.told_, true);
+    const bool isNews = isFirst || aNews != link.toldNews_;
+    if (isNews) {
+      link.toldNews_ = aNews;
+      aOut.Send(id, aNews);
+    }
+    const bool mayTell = std::exchange(link.sentNow_, false) || isTime;
+    if (isNews || (mayTell && aFree != link.toldFree_)) {
+      link.toldFree_ = aFree;
+      aOut.Send(id, gpRoomReport{ aFree, link.runsSeen_ });
+    }
+  }
+  if (isTime) {
+    nextTellAt_ = aNow + kRoomPeriod;
+  }
+}
+
+gpTime
+gpEntryLinks::GetTellTime(const gpResources& aFree) const
+{
+  for (const auto& [id, link] : links_) {
+    if (aFree != link.toldFree_) {
+      return nextTellAt_;
+    }
+  }
+  return gpTime::max();
+}
--- /dev/null
+++ b/Source/Lease/gpLeaseAdmission.cxx
@@ -0,0 +1,137 @@
+#include "gpLeaseAdmission.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "gpScaled.h"
+
+namespace {
+
+/// A job that no task of was sent within this part of its objective is refused:
+/// the caller has time left to go elsewhere.
+constexpr int kStartByPart = 4;
+constexpr gpMillis kShortestStartBy{ 20 };
+/// An answer is sent so much before the caller stops waiting.
+constexpr gpMillis kAnswerMargin{ 10 };
+/// Callers that say nothing else wait so long.
+constexpr gpMillis kUsualPatience{ 10000 };
+/// Shortest time to come back that is told; HTTP counts in seconds.
+constexpr gpMillis kShortestRetry{ 1000 };
+constexpr gpMillis kLongestRetry{ 10000 };
+/// A job is due so many times its expected length before its caller leaves.
+constexpr double kLengthMargin = 1.5;
+
+gpMillis
+PatienceOf(const gpLeaseJob& aJob, const gpQueue& aQueue)
+{
+  const gpMillis patience =
+    aJob.patience_ > gpMillis(0) ? aJob.patience_ : kUsualPatience;
+  return aQueue.timeout_ > gpMillis(0) ? std::min(patience, aQueue.timeout_)
+                                       : patience;
+}
+
+} // namespace
+
+std::optional<gpLeaseAnswer>
+gpLeaseAdmission::FindRefusal(const gpLeaseJob& aJob,
+                              const gpQueue* aQueue,
+                              bool aIsConfigured) const
+{
+  using Outcome = gpLeaseOutcome;
+  using Reason = gpLeaseReason;
+  if (!aIsConfigured) {
+    return gpLeaseAnswer{ Outcome::NotRun,
+                          Reason::NoConfiguration,
+                          kShortestRetry };
+  }
+  if (aQueue == nullptr) {
+    return gpLeaseAnswer{ Outcome::NoQueue, Reason::None, std::nullopt };
+  }
+  if (!board_.HasTarget(aQueue->service_)) {
+    return gpLeaseAnswer{ Outcome::NotRun, Reason::NoTarget, kShortestRetry };
+  }
+  for (const gpJobStep& step : aJob.steps_) {
+    if (!board_.CouldHold(aQueue->service_, step.needs_)) {
+      return gpLeaseAnswer{ Outcome::NotRun, Reason::TooLarge, std::nullopt };
+    }
+  }
+  return std::nullopt;
+}
+
+gpLeaseRecord
+gpLeaseAdmission::MakeRecord(const gpLeaseJobSubmitted& aEvent,
+                             const gpQueue& aQueue,
+                             gpTime aNow)
+{
+  gpLeaseRecord record;
+  record.request_ = aEvent.request_;
+  record.job_ = aEvent.job_;
+  for (gpJobStep& step : record.job_.steps_) {
+    step.estimate_ = lengths_.Predict(aQueue.name_, step.estimate_);
+  }
+  record.queue_ = aQueue;
+  record.arrivedAt_ = aNow;
+  record.deadline_ = aNow + PatienceOf(aEvent.job_, aQueue) - kAnswerMargin;
+  const gpMillis chain = record.GetChain();
+  const gpMillis objective =
+    gpScaled(chain, aQueue.stretch_) + aQueue.allowance_;
+  record.startBy_ = aNow + std::max(kShortestStartBy, objective / kStartByPart);
+  // Long jobs have to start soon, or their caller has left.
+  record.dueAt_ = std::min(record.startBy_,
+                           record.deadline_ - gpScaled(chain, kLengthMargin));
+  record.needsFast_ =
+    board_.NeedsFast(NeedOf(record, record.job_.steps_[0], aNow), aNow);
+  return record;
+}
+
+gpMillis
+gpLeaseAdmission::PredictWait(const gpLeaseRecord& aJob) const
+{
+  double work = 0;
+  for (const auto& key : jobs_.GetWaiting()) {
+    const gpLeaseRecord& job = jobs_.GetAll().at(key.job_);
+    if (job.needsFast_ != aJob.needsFast_ || job.dueAt_ > aJob.dueAt_) {
+      continue;
+    }
+    const gpJobStep& step = job.GetStep(job.tasks_[key.task_]);
+    work += static_cast<double>(step.needs_.milliCores_) *
+            static_cast<double>(step.estimate_.count());
+  }
+  const double capacity =
+    board_.GetCapacity(aJob.queue_.service_) / static_cast<double>(entries_);
+  if (work == 0 || capacity == 0) {
+    return gpMillis(0);
+  }
+  return gpMillis(std::llround(work / capacity));
+}
+
+bool
+gpLeaseAdmission::IsOverloaded(const gpLeaseRecord& aJob, gpTime aNow) const
+{
+  return aNow + PredictWait(aJob) > aJob.startBy_;
+}
+
+gpLeaseAnswer
+gpLeaseAdmission::RefuseOverloaded(const gpLeaseRecord& aJob) const
+{
+  return { gpLeaseOutcome::NotRun,
+           gpLeaseReason::Overloaded,
+           std::clamp(PredictWait(aJob), kShortestRetry, kLongestRetry) };
+}
+
+gpPlacementNeed
+gpLeaseAdmission::NeedOf(const gpLeaseRecord& aJob,
+                         const gpJobStep& aStep,
+                         gpTime aNow)
+{
+  const auto waited =
+    std::chrono::duration_cast<gpMillis>(aNow - aJob.arrivedAt_);
+  gpPlacementNeed need;
+  need.service_ = aJob.queue_.service_;
+  need.needs_ = aStep.needs_;
+  need.estimate_ = aStep.estimate_;
+  need.stretch_ = aJob.queue_.stretch_;
+  need.allowance_ = aJob.queue_.allowance_ - waited;
+  need.patience_ = std::chrono::duration_cast<gpMillis>(aJob.deadline_ - aNow);
+  return need;
+}
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -2,26 +2,16 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <utility>
 
+#include "gpLeaseLines.h"
 #include "gpLeaseTimings.h"
+#include "gpScaled.h"
 
 namespace {
 
 /// Period of housekeeping.
 constexpr gpMillis kTick{ 20 };
-/// A job that no task of was sent within this part of its objective is refused:
-/// the caller has time left to go elsewhere.
-constexpr int kStartByPart = 4;
-constexpr gpMillis kShortestStartBy{ 20 };
-/// An answer is sent so much before the caller stops waiting.
-constexpr gpMillis kAnswerMargin{ 10 };
-/// Callers that say nothing else wait so long.
-constexpr gpMillis kUsualPatience{ 10000 };
-/// Shortest time to come back that is told; HTTP counts in seconds.
-constexpr gpMillis kShortestRetry{ 1000 };
-constexpr gpMillis kLongestRetry{ 10000 };
 /// A guard whose link broke is linked again sooner, if it can be reached.
 constexpr gpMillis kRelinkTime{ 300 };
 /// No task takes less than this part of its estimate.
@@ -31,21 +21,13 @@
 /// speed by over two.
 constexpr double kRecallFactor = 4.0;
 constexpr gpMillis kRecallPause{ 150 };
-/// A job is due so many times its expected length before its caller leaves.
-constexpr double kLengthMargin = 1.5;
 /// Waiting tasks without room that are looked at before the others wait too.
 constexpr int kMostMisses = 8;
-/// Added to a run number when a target has seen a higher one, in ms.
-constexpr std::uint64_t kRunNumberStep = 60000;
+/// Callers that are refused at a shutdown find another entry in this time.
+constexpr gpMillis kShutdownRetry{ 1000 };
 /// Within the time for a shutdown, this last part takes no new jobs.
 constexpr gpMillis kLastJobsTime{ 1600 };
 
-gpMillis
-Scaled(gpMillis aTime, double aFactor)
-{
-  return gpMillis(std::llround(static_cast<double>(aTime.count()) * aFactor));
-}
-
 std::string
 MillisText(gpMicros aTime)
 {
@@ -59,6 +41,8 @@
   : options_(std::move(aOptions))
   , finder_(options_.address_)
   , board_(options_.dataCentre_)
+  , admission_(board_, jobs_)
+  , orders_(options_.firstRun_)
 {
 }
 
@@ -66,12 +50,10 @@
 gpLeaseEntryReducer::Reduce(const gpLeaseEntryEvent& aEvent)
 {
   now_ = aEvent.now_;
-  if (startedAt_ == gpTime{}) {
-    startedAt_ = now_;
-  }
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
+  admission_.SetEntries(finder_.GetLinks().size() + 1);
   Dispatch();
-  FlushOrders();
+  orders_.Flush(out_);
   TellPeers();
   ContinueShutdown();
   ScheduleWake();
@@ -108,85 +90,16 @@
   return jobs_.HasId(aJob);
 }
 
-std::optional<gpLeaseAnswer>
-gpLeaseEntryReducer::FindRefusal(const gpLeaseJob& aJob,
-                                 const gpQueue* aQueue) const
-{
-  using Outcome = gpLeaseOutcome;
-  using Reason = gpLeaseReason;
-  const gpMillis soon = kShortestRetry;
-  if (queues_.version_ == gpConfigVersion{}) {
-    return gpLeaseAnswer{ Outcome::NotRun, Reason::NoConfiguration, soon };
-  }
-  if (aQueue == nullptr) {
-    return gpLeaseAnswer{ Outcome::NoQueue, Reason::None, std::nullopt };
-  }
-  const bool isEnding =
-    shutdownAt_ != gpTime::max() &&
-    now_ >= shutdownAt_ + options_.shutdown_ - kLastJobsTime;
-  if (isEnding) {
-    return gpLeaseAnswer{ Outcome::NotRun, Reason::ShuttingDown, soon };
-  }
-  if (!board_.HasTarget(aQueue->service_)) {
-    return gpLeaseAnswer{ Outcome::NotRun, Reason::NoTarget, soon };
-  }
-  for (const gpJobStep& step : aJob.steps_) {
-    if (!board_.CouldHold(aQueue->service_, step.needs_)) {
-      return gpLeaseAnswer{ Outcome::NotRun, Reason::TooLarge, std::nullopt };
-    }
-  }
-  return std::nullopt;
-}
-
-gpMillis
-gpLeaseEntryReducer::PredictWait(const gpLeaseRecord& aJob) const
-{
-  double work = 0;
-  for (const auto& key : jobs_.GetWaiting()) {
-    const gpLeaseRecord& job = jobs_.GetAll().at(key.job_);
-    if (job.needsFast_ != aJob.needsFast_ || job.dueAt_ > aJob.dueAt_) {
-      continue;
-    }
-    const gpJobStep& step = job.GetStep(job.tasks_[key.task_]);
-    work += static_cast<double>(step.needs_.milliCores_) *
-            static_cast<double>(step.estimate_.count());
-  }
-  const double entries = static_cast<double>(finder_.GetLinks().size() + 1);
-  const double capacity = board_.GetCapacity(aJob.queue_.service_) / entries;
-  if (work == 0 || capacity == 0) {
-    return gpMillis(0);
-  }
-  return gpMillis(std::llround(work / capacity));
-}
-
-gpPlacementNeed
-gpLeaseEntryReducer::NeedOf(const gpLeaseRecord& aJob,
-                            const gpJobStep& aStep) const
-{
-  const auto waited =
-    std::chrono::duration_cast<gpMillis>(now_ - aJob.arrivedAt_);
-  gpPlacementNeed need;
-  need.service_ = aJob.queue_.service_;
-  need.needs_ = aStep.needs_;
-  need.estimate_ = aStep.estimate_;
-  need.stretch_ = aJob.queue_.stretch_;
-  need.allowance_ = aJob.queue_.allowance_ - waited;
-  need.patience_ = std::chrono::duration_cast<gpMillis>(aJob.deadline_ - now_);
-  return need;
-}
-
 void
 gpLeaseEntryReducer::Refuse(const gpLeaseJobSubmitted& aEvent,
                             const gpLeaseAnswer& aAnswer)
 {
-  gpTimelineEvent event;
-  event.kind_ = gpEventKind::JobAnswered;
-  event.key_ =
-    gpServiceKey{ gpServiceName(), gpSubmissionKey(aEvent.job_.id_) };
-  event.detail_ = gpLeaseOutcomeName(aAnswer.outcome_) + " " +
-                  gpLeaseReasonName(aAnswer.reason_) + " version " +
-                  std::to_string(queues_.version_.value_);
-  out_.Write(std::move(event));
+  out_.Write(gpJobLine(gpEventKind::JobAnswered,
+                       gpServiceName(),
+                       aEvent.job_.id_,
+                       gpLeaseOutcomeName(aAnswer.outcome_) + " " +
+                         gpLeaseReasonName(aAnswer.reason_) + " version " +
+                         std::to_string(queues_.version_.value_)));
   out_.Add(gpAnswerLeaseJob{ aEvent.request_, aAnswer });
 }
 
@@ -194,7 +107,14 @@
 gpLeaseEntryReducer::On(const gpLeaseJobSubmitted& aEvent)
 {
   const gpQueue* queue = queues_.Find(aEvent.job_.host_, aEvent.job_.path_);
-  if (const auto refusal = FindRefusal(aEvent.job_, queue)) {
+  const bool isConfigured = queues_.version_ != gpConfigVersion{};
+  auto refusal = admission_.FindRefusal(aEvent.job_, queue, isConfigured);
+  if (!refusal.has_value() && IsEnding()) {
+    refusal = gpLeaseAnswer{ gpLeaseOutcome::NotRun,
+                             gpLeaseReason::ShuttingDown,
+                             kShutdownRetry };
+  }
+  if (refusal.has_value()) {
     Refuse(aEvent, *refusal);
     return;
   }
@@ -207,48 +127,20 @@
     WriteJob(gpEventKind::JobAttached, *former, "submitted again");
     return;
   }
-  gpLeaseRecord record;
-  record.request_ = aEvent.request_;
-  record.job_ = aEvent.job_;
-  for (gpJobStep& step : record.job_.steps_) {
-    step.estimate_ = lengths_.Predict(queue->name_, step.estimate_);
-  }
-  record.queue_ = *queue;
-  record.arrivedAt_ = now_;
-  gpMillis patience = aEvent.job_.patience_ > gpMillis(0)
-                        ? aEvent.job_.patience_
-                        : kUsualPatience;
-  if (queue->timeout_ > gpMillis(0)) {
-    patience = std::min(patience, queue->timeout_);
-  }
-  record.deadline_ = now_ + patience - kAnswerMargin;
-  const gpMillis objective =
-    Scaled(record.GetChain(), queue->stretch_) + queue->allowance_;
-  record.objective_ = now_ + objective;
-  const gpMillis startBy = std::max(kShortestStartBy, objective / kStartByPart);
-  record.startBy_ = now_ + startBy;
-  // Long jobs have to start soon, or their caller has left.
-  record.dueAt_ =
-    std::min(record.startBy_,
-             record.deadline_ - Scaled(record.GetChain(), kLengthMargin));
-  record.needsFast_ =
-    board_.NeedsFast(NeedOf(record, record.job_.steps_[0]), now_);
-  const gpMillis wait = PredictWait(record);
-  if (wait > startBy) {
-    Refuse(aEvent,
-           { gpLeaseOutcome::NotRun,
-             gpLeaseReason::Overloaded,
-             std::clamp(wait, kShortestRetry, kLongestRetry) });
+  gpLeaseRecord record = admission_.MakeRecord(aEvent, *queue, now_);
+  if (admission_.IsOverloaded(record, now_)) {
+    Refuse(aEvent, admission_.RefuseOverloaded(record));
     return;
   }
+  const gpMillis wait = admission_.PredictWait(record);
   const gpLeaseRecord& job = jobs_.Add(std::move(record));
   WriteJob(gpEventKind::JobAdmitted,
            job,
            "queue " + queue->name_.value_ + " version " +
              std::to_string(queues_.version_.value_) + " tasks " +
              std::to_string(job.tasks_.size()) + " estimate " +
-             std::to_string(job.GetChain().count()) + " ms patience " +
-             std::to_string(patience.count()) + " ms wait " +
+             MillisText(job.GetChain()) + " patience " +
+             MillisText(job.deadline_ - now_) + " wait " +
              std::to_string(wait.count()) + " ms");
 }
 
@@ -281,7 +173,6 @@
     return;
   }
   queues_ = aEvent.queues_;
-  queuesAt_ = now_;
   gpTimelineEvent event;
   event.kind_ = gpEventKind::ConfigurationInForce;
   event.number_ = queues_.version_.value_;
@@ -418,7 +309,7 @@
     --aJob.begun_;
   }
   if (aEnd == gpRunEnd::Outdated) {
-    lastRun_ += kRunNumberStep;
+    orders_.SkipAhead();
   } else {
     task.avoid_.insert(task.guard_);
   }
@@ -482,9 +373,7 @@
     return;
   }
   shutdownAt_ = now_;
-  gpTimelineEvent event;
-  event.kind_ = gpEventKind::ProcessStopping;
-  out_.Write(std::move(event));
+  out_.Write(gpPlainLine(gpEventKind::ProcessStopping, ""));
 }
 
 void
@@ -533,10 +422,7 @@
 gpLeaseEntryReducer::GiveUpOrRecall(gpLeaseRecord& aJob)
 {
   if (aJob.begun_ == 0 && now_ >= aJob.startBy_) {
-    EndJob(aJob,
-           { gpLeaseOutcome::NotRun,
-             gpLeaseReason::Overloaded,
-             std::clamp(PredictWait(aJob), kShortestRetry, kLongestRetry) });
+    EndJob(aJob, admission_.RefuseOverloaded(aJob));
     return;
   }
   if (now_ >= aJob.deadline_) {
@@ -549,7 +435,7 @@
   for (std::size_t index = 0; index < aJob.tasks_.size(); ++index) {
     const gpLeaseTask& task = aJob.tasks_[index];
     const gpTime earliestEnd =
-      now_ + Scaled(aJob.GetStep(task).estimate_, kLeastOfEstimate);
+      now_ + gpScaled(aJob.GetStep(task).estimate_, kLeastOfEstimate);
     if (task.phase_ == gpLeaseTaskPhase::Waiting &&
         earliestEnd >= aJob.deadline_) {
       EndJob(aJob,
@@ -575,7 +461,7 @@
     return true;
   }
   const gpTime earliestEnd =
-    freeAt + Scaled(aJob.GetStep(task).estimate_, kLeastOfEstimate);
+    freeAt + gpScaled(aJob.GetStep(task).estimate_, kLeastOfEstimate);
   if (now_ >= task.lostAt_ + kRelinkTime && earliestEnd >= aJob.deadline_) {
     EndJob(aJob,
            { gpLeaseOutcome::Failed, gpLeaseReason::TargetLost, std::nullopt });
@@ -613,7 +499,8 @@
     }
     gpLeaseRecord& job = *jobs_.Find(sequence);
     const gpLeaseTask& task = job.tasks_[index];
-    gpPlacementNeed need = NeedOf(job, job.GetStep(task));
+    gpPlacementNeed need =
+      gpLeaseAdmission::NeedOf(job, job.GetStep(task), now_);
     need.avoid_ = task.avoid_;
     const auto guard = board_.Choose(need, now_);
     if (guard.has_value()) {
@@ -630,20 +517,14 @@
                              std::size_t aTask,
                              gpIncarnation aGuard)
 {
-  const auto elapsed =
-    std::chrono::duration_cast<gpMillis>(now_ - startedAt_).count();
-  lastRun_ = std::max(lastRun_ + 1, static_cast<std::uint64_t>(elapsed));
-  jobs_.Send(aJob, aTask, aGuard, options_.firstRun_ + lastRun_);
+  jobs_.Send(aJob, aTask, aGuard, orders_.NextNumber(now_));
   gpLeaseTask& task = aJob.tasks_[aTask];
   const gpJobStep& step = aJob.GetStep(task);
-  task.recallAt_ = now_ + kRecallPause + Scaled(step.estimate_, kRecallFactor);
+  task.recallAt_ =
+    now_ + kRecallPause + gpScaled(step.estimate_, kRecallFactor);
   board_.NoteSent(aGuard, task.run_, step.needs_, step.estimate_, now_);
   const gpTargetView& view = *board_.Find(aGuard);
-  gpRunOrder& order =
-    orders_[OrderKey{ view.link_, aJob.job_.id_, task.step_ }];
-  order.spec_ = aJob.job_.spec_;
-  order.needs_ = step.needs_;
-  order.runs_.push_back(task.run_);
+  orders_.Add(view.link_, aJob.job_, task.step_, task.run_);
   WriteRun(
     gpEventKind::TaskSent,
     aJob,
@@ -651,15 +532,7 @@
     aGuard,
     "free " + std::to_string(view.GetFree().milliCores_) + " mcores as of " +
       MillisText(now_ - view.reportedAt_) + " ago, slowness " +
-      std::to_string(Scaled(gpMillis(100), view.slowness_).count()) + " %");
-}
-
-void
-gpLeaseEntryReducer::FlushOrders()
-{
-  for (auto& [key, order] : std::exchange(orders_, {})) {
-    out_.Send(std::get<gpLinkId>(key), std::move(order));
-  }
+      std::to_string(gpScaled(gpMillis(100), view.slowness_).count()) + " %");
 }
 
 void
@@ -678,6 +551,13 @@
   }
 }
 
+bool
+gpLeaseEntryReducer::IsEnding() const
+{
+  return shutdownAt_ != gpTime::max() &&
+         now_ >= shutdownAt_ + options_.shutdown_ - kLastJobsTime;
+}
+
 void
 gpLeaseEntryReducer::ContinueShutdown()
 {
@@ -685,7 +565,7 @@
     return;
   }
   const gpTime end = shutdownAt_ + options_.shutdown_;
-  const bool isIdle = now_ >= end - kLastJobsTime && jobs_.GetAll().empty();
+  const bool isIdle = IsEnding() && jobs_.GetAll().empty();
   if (isIdle || now_ >= end) {
     stopped_ = true;
     out_.Add(gpStop{});
@@ -706,12 +586,7 @@
                               const gpLeaseRecord& aJob,
                               const std::string& aDetail)
 {
-  gpTimelineEvent event;
-  event.kind_ = aKind;
-  event.key_ =
-    gpServiceKey{ aJob.queue_.service_, gpSubmissionKey(aJob.job_.id_) };
-  event.detail_ = aDetail;
-  out_.Write(std::move(event));
+  out_.Write(gpJobLine(aKind, aJob.queue_.service_, aJob.job_.id_, aDetail));
 }
 
 void
@@ -721,12 +596,7 @@
                               gpIncarnation aGuard,
                               const std::string& aDetail)
 {
-  gpTimelineEvent event;
-  event.kind_ = aKind;
-  event.key_ =
-    gpServiceKey{ aJob.queue_.service_, gpSubmissionKey(aRun.task_) };
-  event.number_ = aRun.number_;
-  event.peer_ = aGuard;
-  event.detail_ = aDetail;
-  out_.Write(std::move(event));
+  gpTimelineEvent line = gpRunLine(aKind, aJob.queue_.service_, aRun, aDetail);
+  line.peer_ = aGuard;
+  out_.Write(std::move(line));
 }
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -5,13 +5,13 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <vector>
 
 #include "gpEntryFinder.h"
+#include "gpLeaseAdmission.h"
 #include "gpLeaseEvent.h"
 #include "gpLeaseJobTable.h"
-#include "gpLengthEstimator.h"
+#include "gpRunOrders.h"
 #include "gpTargetBoard.h"
 
 /** \class gpLeaseEntryOptions
@@ -81,14 +81,6 @@
   {
   }
 
-  /// Why the job is not taken in; not set if it is.
-  std::optional<gpLeaseAnswer> FindRefusal(const gpLeaseJob& aJob,
-                                           const gpQueue* aQueue) const;
-  /// How long a job would wait for room, going by the work that comes before
-  /// it; that of other kinds of target doesn't count.
-  gpMillis PredictWait(const gpLeaseRecord& aJob) const;
-  gpPlacementNeed NeedOf(const gpLeaseRecord& aJob,
-                         const gpJobStep& aStep) const;
   void Refuse(const gpLeaseJobSubmitted& aEvent, const gpLeaseAnswer& aAnswer);
   /// Answers the caller, stops what runs and forgets the job.
   void EndJob(gpLeaseRecord& aJob, const gpLeaseAnswer& aAnswer);
@@ -105,9 +97,10 @@
   /// Sends waiting tasks to targets with room.
   void Dispatch();
   void SendRun(gpLeaseRecord& aJob, std::size_t aTask, gpIncarnation aGuard);
-  void FlushOrders();
   void LoseGuard(gpIncarnation aGuard);
   void TellPeers();
+  /// Whether no more jobs are taken in, as the process ends soon.
+  bool IsEnding() const;
   void ContinueShutdown();
   void ScheduleWake();
   void WriteJob(gpEventKind aKind,
@@ -119,24 +112,18 @@
                 gpIncarnation aGuard,
                 const std::string& aDetail);
 
-  /// Runs of one job that are sent to one guard together.
-  using OrderKey = std::tuple<gpLinkId, std::string, std::uint32_t>;
-
   gpLeaseEntryOptions options_;
   gpTime now_;
-  gpTime startedAt_;
   gpLeaseEffects out_;
   gpQueueTable queues_;
-  gpTime queuesAt_;
   gpEntryFinder finder_;
   gpTargetBoard board_;
   gpLeaseJobTable jobs_;
-  gpLengthEstimator lengths_;
+  gpLeaseAdmission admission_;
   /// Guards by link, and links that other entries dialed.
   std::map<gpLinkId, gpIncarnation> guards_;
   std::set<gpLinkId> peers_;
-  std::map<OrderKey, gpRunOrder> orders_;
-  std::uint64_t lastRun_ = 0;
+  gpRunOrders orders_;
   gpTime wakeAt_;
   gpTime shutdownAt_ = gpTime::max();
   bool tellPeers_ = false;
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gpLeaseLines.h"
 #include "gpLeaseTimings.h"
 
 namespace {
@@ -16,8 +17,6 @@
 /// end of the target breaks its connection and is noticed; with the next look
 /// the successor learns of the higher fence before late orders reach it.
 constexpr gpMillis kIdleLookWait{ 250 };
-/// Entries that were not told anything else learn of free room so late at most.
-constexpr gpMillis kRoomPeriod{ 4 };
 /// Period of wake-ups, also for noticing that the process was suspended.
 constexpr gpMillis kTick{ 50 };
 
@@ -37,7 +36,7 @@
   CheckPause();
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
   Look();
-  TellEntries();
+  links_.Tell(MakeNews(), runs_.GetFree(), now_, out_);
   ContinueShutdown();
   ScheduleWake();
   return out_.Take();
@@ -48,7 +47,7 @@
 {
   gpLeaseGuardStatus status;
   status.runs_ = runs_.GetAll().size();
-  status.entries_ = links_.size();
+  status.entries_ = links_.Count();
   status.targetKnown_ = target_.IsKnown();
   status.takesWork_ = TakesWork();
   return status;
@@ -66,7 +65,7 @@
               "not scheduled for " +
                 std::to_string((now_ - last).count() / 1000) +
                 " ms, closing links");
-  for (const auto& [link, entry] : std::exchange(links_, {})) {
+  for (const gpLinkId link : links_.CloseAll()) {
     out_.Add(gpCloseLink{ link });
     finder_.OnLost(link, now_);
   }
@@ -97,7 +96,7 @@
   }
   finder_.OnLinked(*aEvent.dialed_, aEvent.link_, now_);
   const gpIncarnation entry = aEvent.peer_.incarnation_;
-  links_[aEvent.link_].entry_ = entry;
+  links_.Open(aEvent.link_, entry);
   out_.Send(aEvent.link_, gpRunsHeld{ runs_.ListOf(entry) });
 }
 
@@ -105,13 +104,11 @@
 gpLeaseGuardReducer::On(const gpLinkLost& aEvent)
 {
   finder_.OnLost(aEvent.link_, now_);
-  const auto found = links_.find(aEvent.link_);
-  if (found == links_.end()) {
+  const auto entry = links_.Close(aEvent.link_);
+  if (!entry.has_value()) {
     return;
   }
-  const gpIncarnation entry = found->second.entry_;
-  links_.erase(found);
-  for (const gpRunId& id : runs_.ListOf(entry)) {
+  for (const gpRunId& id : runs_.ListOf(*entry)) {
     Stop(*runs_.Find(id));
   }
 }
@@ -126,7 +123,7 @@
 gpLeaseGuardReducer::On(const gpMessageReceived& aEvent)
 {
   // A link that was closed after a pause is not in the table any more.
-  if (links_.contains(aEvent.link_)) {
+  if (links_.Contains(aEvent.link_)) {
     std::visit([&](const auto& aMessage) { OnMessage(aEvent.link_, aMessage); },
                aEvent.message_);
   }
@@ -143,7 +140,7 @@
 void
 gpLeaseGuardReducer::OnMessage(gpLinkId aLink, const gpRunCancel& aMessage)
 {
-  const gpIncarnation entry = links_.at(aLink).entry_;
+  const gpIncarnation entry = links_.GetEntry(aLink);
   for (const gpRunId& id : aMessage.runs_) {
     gpGuardRun* run = runs_.Find(id);
     if (run != nullptr && run->owner_ == entry) {
@@ -164,8 +161,7 @@
                               const gpRunOrder& aOrder,
                               const gpRunId& aRun)
 {
-  EntryLink& link = links_.at(aLink);
-  ++link.runsSeen_;
+  links_.NoteOrdered(aLink);
   if (!TakesWork()) {
     const bool isLeaving = shutdownEnd_ != gpTime::max() ||
                            (target_.IsKnown() && target_.IsLeaving());
@@ -178,7 +174,7 @@
   }
   gpGuardRun run;
   run.id_ = aRun;
-  run.owner_ = link.entry_;
+  run.owner_ = links_.GetEntry(aLink);
   run.needs_ = aOrder.needs_;
   run.orderedAt_ = now_;
   if (!runs_.Add(std::move(run))) {
@@ -199,8 +195,7 @@
                             gpRunEnd aReason)
 {
   WriteRun(gpEventKind::TaskRefused, aRun, gpRunEndName(aReason));
-  links_.at(aLink).sentNow_ = true;
-  out_.Send(aLink, gpRunReport{ aRun, aReason, gpMicros(0) });
+  links_.Report(aLink, { aRun, aReason, gpMicros(0) }, out_);
 }
 
 void
@@ -232,7 +227,8 @@
   }
   WriteRun(gpEventKind::TaskEnded, aRun, gpRunEndName(aEnd));
   if (run->owner_.has_value()) {
-    ReportTo(*run->owner_, { aRun, aEnd, now_ - run->orderedAt_ });
+    const gpMicros time = now_ - run->orderedAt_;
+    links_.Report(*run->owner_, { aRun, aEnd, time }, out_);
   }
   runs_.Remove(aRun);
 }
@@ -274,18 +270,6 @@
   nextLookAt_ = now_;
 }
 
-void
-gpLeaseGuardReducer::ReportTo(gpIncarnation aEntry, gpRunReport aReport)
-{
-  for (auto& [link, entry] : links_) {
-    if (entry.entry_ == aEntry) {
-      entry.sentNow_ = true;
-      out_.Send(link, std::move(aReport));
-      return;
-    }
-  }
-}
-
 void
 gpLeaseGuardReducer::On(const gpTargetHeard& aEvent)
 {
@@ -443,9 +427,7 @@
     return;
   }
   shutdownEnd_ = now_ + options_.shutdown_;
-  gpTimelineEvent event;
-  event.kind_ = gpEventKind::ProcessStopping;
-  out_.Write(std::move(event));
+  out_.Write(gpPlainLine(gpEventKind::ProcessStopping, ""));
 }
 
 void
@@ -469,8 +451,8 @@
   out_.Add(std::move(look));
 }
 
-void
-gpLeaseGuardReducer::TellEntries()
+gpTargetNews
+gpLeaseGuardReducer::MakeNews() const
 {
   gpTargetNews news;
   news.service_ = options_.service_;
@@ -480,24 +462,7 @@
     news.labels_ = target_.Get().labels_;
     news.capacity_ = target_.Get().capacity_;
   }
-  const gpResources free = runs_.GetFree();
-  const bool isTime = now_ >= nextTellAt_;
-  for (auto& [link, entry] : links_) {
-    const bool isFirst = !std::exchange(entry.told_, true);
-    const bool isNews = isFirst || news != entry.toldNews_;
-    if (isNews) {
-      entry.toldNews_ = news;
-      out_.Send(link, news);
-    }
-    const bool mayTell = std::exchange(entry.sentNow_, false) || isTime;
-    if (isNews || (mayTell && free != entry.toldFree_)) {
-      entry.toldFree_ = free;
-      out_.Send(link, gpRoomReport{ free, entry.runsSeen_ });
-    }
-  }
-  if (isTime) {
-    nextTellAt_ = now_ + kRoomPeriod;
-  }
+  return news;
 }
 
 void
@@ -517,12 +482,8 @@
   if (!looking_ && target_.IsKnown()) {
     when = std::min(when, std::max(nextLookAt_, now_ + gpMillis(1)));
   }
-  const gpResources free = runs_.GetFree();
-  for (const auto& [link, entry] : links_) {
-    if (free != entry.toldFree_) {
-      when = std::min(when, std::max(nextTellAt_, now_ + gpMillis(1)));
-    }
-  }
+  const gpTime tellAt = links_.GetTellTime(runs_.GetFree());
+  when = std::min(when, std::max(tellAt, now_ + gpMillis(1)));
   if (wakeAt_ <= now_ || when < wakeAt_) {
     wakeAt_ = when;
     out_.Add(gpWakeAt{ when });
@@ -532,10 +493,7 @@
 void
 gpLeaseGuardReducer::WriteTarget(gpEventKind aKind, const std::string& aDetail)
 {
-  gpTimelineEvent event;
-  event.kind_ = aKind;
-  event.detail_ = aDetail;
-  out_.Write(std::move(event));
+  out_.Write(gpPlainLine(aKind, aDetail));
 }
 
 void
@@ -543,10 +501,5 @@
                               const gpRunId& aRun,
                               const std::string& aDetail)
 {
-  gpTimelineEvent event;
-  event.kind_ = aKind;
-  event.key_ = gpServiceKey{ options_.service_, gpSubmissionKey(aRun.task_) };
-  event.number_ = aRun.number_;
-  event.detail_ = aDetail;
-  out_.Write(std::move(event));
+  out_.Write(gpRunLine(aKind, options_.service_, aRun, aDetail));
 }
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -1,13 +1,12 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <set>
 #include <vector>
 
 #include "gpEntryFinder.h"
+#include "gpEntryLinks.h"
 #include "gpLeaseEvent.h"
-#include "gpLinkBook.h"
 #include "gpRunTable.h"
 #include "gpTargetSession.h"
 
@@ -51,17 +50,6 @@
   gpLeaseGuardStatus GetStatus() const;
 
 private:
-  /// What an entry at the other end of a link was told.
-  struct EntryLink
-  {
-    gpIncarnation entry_;
-    std::uint64_t runsSeen_ = 0;
-    bool sentNow_ = false;
-    gpResources toldFree_;
-    gpTargetNews toldNews_;
-    bool told_ = false;
-  };
-
   void On(const gpEntriesFound& aEvent);
   void On(const gpLinkOpened& aEvent);
   void On(const gpLinkLost& aEvent);
@@ -101,10 +89,9 @@
   /// any order; under the same one, the last orders may be at work there.
   void OnOtherTarget(bool aIsSameId);
   void Refuse(gpLinkId aLink, const gpRunId& aRun, gpRunEnd aReason);
-  void ReportTo(gpIncarnation aEntry, gpRunReport aReport);
   /// Looks at the target if it's time, which also renews its lease.
   void Look();
-  void TellEntries();
+  gpTargetNews MakeNews() const;
   void ContinueShutdown();
   void ScheduleWake();
   void WriteTarget(gpEventKind aKind, const std::string& aDetail);
@@ -116,7 +103,7 @@
   gpTime now_;
   gpLeaseEffects out_;
   gpEntryFinder finder_;
-  std::map<gpLinkId, EntryLink> links_;
+  gpEntryLinks links_;
   gpTargetSession target_;
   gpRunTable runs_;
   /// Runs that the target shows but this incarnation hasn't started.
@@ -128,7 +115,6 @@
   gpTime nextLookAt_;
   gpTime lastEventAt_;
   gpTime wakeAt_;
-  gpTime nextTellAt_;
   gpTime shutdownEnd_ = gpTime::max();
   bool stopped_ = false;
 };
--- a/Source/Lease/gpLeaseJobTable.h
+++ b/Source/Lease/gpLeaseJobTable.h
@@ -55,8 +55,6 @@
   gpTime arrivedAt_;
   /// The caller doesn't wait longer.
   gpTime deadline_;
-  /// The answer is worth most until then.
-  gpTime objective_;
   /// If no task was sent by then, the job is refused.
   gpTime startBy_;
   /// Its place among the jobs that wait: when it should have started.
--- /dev/null
+++ b/Source/Lease/gpRunOrders.cxx
@@ -0,0 +1,50 @@
+#include "gpRunOrders.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace {
+
+/// Added to a run number when a target has seen a higher one, in ms.
+constexpr std::uint64_t kSkippedMs = 60000;
+
+} // namespace
+
+std::uint64_t
+gpRunOrders::NextNumber(gpTime aNow)
+{
+  if (startedAt_ == gpTime{}) {
+    startedAt_ = aNow;
+  }
+  const auto elapsed =
+    std::chrono::duration_cast<gpMillis>(aNow - startedAt_).count();
+  last_ = std::max(last_ + 1, static_cast<std::uint64_t>(elapsed));
+  return first_ + last_;
+}
+
+void
+gpRunOrders::SkipAhead()
+{
+  last_ += kSkippedMs;
+}
+
+void
+gpRunOrders::Add(gpLinkId aLink,
+                 const gpLeaseJob& aJob,
+                 std::uint32_t aStep,
+                 const gpRunId& aRun)
+{
+  gpRunOrder& order = orders_[Key{ aLink, aJob.id_, aStep }];
+  order.spec_ = aJob.spec_;
+  order.needs_ = aJob.steps_[aStep].needs_;
+  order.runs_.push_back(aRun);
+}
+
+void
+gpRunOrders::Flush(gpLeaseEffects& aOut)
+{
+  for (auto& [key, order] : std::exchange(orders_, {})) {
+    aOut.Send(std::get<gpLinkId>(key), std::move(order));
+  }
+}
