Lease: Predict a job's wait once, and remove what nothing calls

Found in the last read of the change: the wait was worked out twice a submission, opening and running was written in both mains, and three accessors had no caller. The time for a stop is part of the compiler's check of the chain now.

--- a/Source/Entry/main.cxx
+++ b/Source/Entry/main.cxx
@@ -6,6 +6,7 @@
 #include "gpLeaseSettingsFile.h"
 #include "gpPlatformJobs.h"
 #include "gpPlatformStore.h"
+#include "gpRunLeaseProcess.h"
 #include "gpSettingsFile.h"
 
 namespace {
@@ -25,14 +26,7 @@
                                 return std::make_unique<gpPlatformStore>(
                                   aClient, settings->store_);
                               });
-  const absl::Status status = process.Open();
-  if (!status.ok()) {
-    std::cerr << "gypsumpoint-entry: " << gpErrorText(status) << "\n";
-    return kExitFailure;
-  }
-  process.WatchSettings(aFile, aText);
-  process.Run();
-  return kExitOk;
+  return gpRunLeaseProcess(process, "gypsumpoint-entry", aFile, aText);
 }
 
 } // namespace
--- a/Source/Guard/main.cxx
+++ b/Source/Guard/main.cxx
@@ -6,6 +6,7 @@
 #include "gpLeaseSettingsFile.h"
 #include "gpPlatformHeartbeat.h"
 #include "gpPlatformTarget.h"
+#include "gpRunLeaseProcess.h"
 #include "gpSettingsFile.h"
 
 namespace {
@@ -25,14 +26,7 @@
                                 return std::make_unique<gpPlatformTarget>(
                                   aClient, settings->target_);
                               });
-  const absl::Status status = process.Open();
-  if (!status.ok()) {
-    std::cerr << "gypsumpoint-guard: " << gpErrorText(status) << "\n";
-    return kExitFailure;
-  }
-  process.WatchSettings(aFile, aText);
-  process.Run();
-  return kExitOk;
+  return gpRunLeaseProcess(process, "gypsumpoint-guard", aFile, aText);
 }
 
 } // namespace
--- a/Source/Lease/gpLeaseAdmission.cxx
+++ b/Source/Lease/gpLeaseAdmission.cxx
@@ -105,12 +105,6 @@
   return gpMillis(std::llround(work / capacity));
 }
 
-bool
-gpLeaseAdmission::IsOverloaded(const gpLeaseRecord& aJob, gpTime aNow) const
-{
-  return aNow + PredictWait(aJob) > aJob.startBy_;
-}
-
 gpLeaseAnswer
 gpLeaseAdmission::RefuseOverloaded(const gpLeaseRecord& aJob) const
 {
--- a/Source/Lease/gpLeaseAdmission.h
+++ b/Source/Lease/gpLeaseAdmission.h
@@ -38,8 +38,6 @@
   /// How long a job would wait for room, going by the work that comes before
   /// it; that of other kinds of target doesn't count.
   gpMillis PredictWait(const gpLeaseRecord& aJob) const;
-  /// Whether the job would start too late.
-  bool IsOverloaded(const gpLeaseRecord& aJob, gpTime aNow) const;
   /// The refusal of a job that would start too late, or hasn't started.
   gpLeaseAnswer RefuseOverloaded(const gpLeaseRecord& aJob) const;
   /// What a task of the job asks of a target.
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -128,11 +128,11 @@
     return;
   }
   gpLeaseRecord record = admission_.MakeRecord(aEvent, *queue, now_);
-  if (admission_.IsOverloaded(record, now_)) {
+  const gpMillis wait = admission_.PredictWait(record);
+  if (now_ + wait > record.startBy_) {
     Refuse(aEvent, admission_.RefuseOverloaded(record));
     return;
   }
-  const gpMillis wait = admission_.PredictWait(record);
   const gpLeaseRecord& job = jobs_.Add(std::move(record));
   WriteJob(gpEventKind::JobAdmitted,
            job,
--- a/Source/Lease/gpLeaseTimings.h
+++ b/Source/Lease/gpLeaseTimings.h
@@ -27,6 +27,8 @@
 
 static_assert(kLinkLossBound < kShortestResend,
               "a repeated job must not meet its former self at work");
+static_assert(kLinkSilence + kStopTime < kLinkLossBound,
+              "a guard that lives has stopped the runs by then as well");
 static_assert(kLinkSilence >= 3 * kLinkHeartbeat);
 
 /// A process that was not scheduled for so long may hold messages from before
--- a/Source/Lease/gpRunTable.cxx
+++ b/Source/Lease/gpRunTable.cxx
@@ -26,16 +26,6 @@
   return found == runs_.end() ? nullptr : &found->second;
 }
 
-std::vector<gpGuardRun>
-gpRunTable::TakeAll()
-{
-  std::vector<gpGuardRun> all;
-  for (auto& [id, run] : std::exchange(runs_, {})) {
-    all.push_back(run);
-  }
-  return all;
-}
-
 std::vector<gpRunId>
 gpRunTable::ListOf(gpIncarnation aOwner) const
 {
--- a/Source/Lease/gpRunTable.h
+++ b/Source/Lease/gpRunTable.h
@@ -50,8 +50,6 @@
   bool Add(gpGuardRun aRun);
   gpGuardRun* Find(const gpRunId& aRun);
   void Remove(const gpRunId& aRun) { runs_.erase(aRun); }
-  /// Takes all runs out.
-  std::vector<gpGuardRun> TakeAll();
   /// The runs of one entry that may be at work.
   std::vector<gpRunId> ListOf(gpIncarnation aOwner) const;
   /// Runs that a look sent at that time must have shown, but which it didn't
--- a/Source/Process/gpLeaseNode.h
+++ b/Source/Process/gpLeaseNode.h
@@ -36,8 +36,6 @@
   /// Carries an effect out. False if it's none that all nodes have.
   bool Carry(gpLeaseEffect& aEffect, const std::function<void()>& aWake);
 
-  /// The newest configuration that this node has; not set if it has none.
-  const std::optional<gpConfigurationNews>& GetNews() const { return news_; }
   /// Keeps a configuration if it's newer. False if it isn't.
   bool KeepNews(gpConfigurationNews aNews);
   /// Answers a request for the configuration.
--- a/Source/Process/gpStoreFollower.h
+++ b/Source/Process/gpStoreFollower.h
@@ -28,7 +28,6 @@
                   Handlers aHandlers);
 
   void Start() { ReadNewest(); }
-  bool IsCurrent() const { return isCurrent_; }
 
 private:
   void ReadNewest();
