Lease: Repeat stops and looks at a growing pause

Cause: a stop whose connection broke off was repeated at once. At a target that takes connections and resets them (a flapping one), a guard opened about 2,000 connections a second; looks at a target that doesn't listen went on at 50 a second for as long as the guard lived.

Change: gpPendingStops keeps the stops without an answer and gpLookSchedule the pause, which doubles from 20 to 160 ms and ends with an answer or a heartbeat. A stop that was not sent is now repeated as well; before, its run could have held its room for good.

--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -11,8 +11,6 @@
 /// How long a look may wait at the target for the end of a run. Several looks
 /// may be lost before the lease ends.
 constexpr gpMillis kLookWait{ 60 };
-/// Pause after a look that was not answered.
-constexpr gpMillis kLookRetry{ 20 };
 /// The same at a target without runs. A look is always under way, so that the
 /// end of the target breaks its connection and is noticed; with the next look
 /// the successor learns of the higher fence before late orders reach it.
@@ -35,6 +33,7 @@
   now_ = aEvent.now_;
   CheckPause();
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
+  RepeatStops();
   Look();
   links_.Tell(MakeNews(), runs_.GetFree(), now_, out_);
   ContinueShutdown();
@@ -77,7 +76,7 @@
 bool
 gpLeaseGuardReducer::TakesWork() const
 {
-  return target_.IsKnown() && target_.IsConfirmed() && looked_ &&
+  return target_.IsKnown() && target_.IsConfirmed() && looks_.HasAnswer() &&
          strangers_.empty() && !target_.IsLeaving() &&
          !target_.IsSilent(now_) && shutdownEnd_ == gpTime::max();
 }
@@ -207,14 +206,23 @@
   aRun.phase_ = gpRunPhase::Stopping;
   aRun.settledAt_.reset();
   WriteRun(gpEventKind::TaskCancelled, aRun.id_, "");
-  SendStop(aRun);
+  SendStop(aRun.id_);
 }
 
 void
-gpLeaseGuardReducer::SendStop(const gpGuardRun& aRun)
+gpLeaseGuardReducer::SendStop(const gpRunId& aRun)
 {
   if (target_.IsKnown()) {
-    out_.Add(gpStopRun{ target_.Get().id_, aRun.id_, target_.GetFence() });
+    stops_.NoteSent(aRun, now_);
+    out_.Add(gpStopRun{ target_.Get().id_, aRun, target_.GetFence() });
+  }
+}
+
+void
+gpLeaseGuardReducer::RepeatStops()
+{
+  for (const gpRunId& run : stops_.ListDue(now_, looks_.GetPause())) {
+    SendStop(run);
   }
 }
 
@@ -231,12 +239,14 @@
     links_.Report(*run->owner_, { aRun, aEnd, time }, out_);
   }
   runs_.Remove(aRun);
+  stops_.Forget(aRun);
 }
 
 void
 gpLeaseGuardReducer::FinishAll()
 {
   strangers_.clear();
+  stops_.Clear();
   std::vector<gpRunId> all;
   for (const auto& [id, run] : runs_.GetAll()) {
     all.push_back(id);
@@ -266,8 +276,7 @@
     FinishAll();
   }
   seenEnds_ = 0;
-  looked_ = false;
-  nextLookAt_ = now_;
+  looks_.Restart(now_);
 }
 
 void
@@ -281,6 +290,7 @@
   const bool isSameId =
     target_.IsKnown() && target_.Get().id_ == aEvent.target_.id_;
   const bool isOther = target_.Hear(aEvent.target_, now_);
+  looks_.NoteHeard(now_);
   runs_.SetCapacity(aEvent.target_.capacity_);
   if (isOther) {
     OnOtherTarget(isSameId);
@@ -344,31 +354,22 @@
 gpLeaseGuardReducer::On(const gpStopReplied& aEvent)
 {
   target_.NoteClock(aEvent.clock_, now_);
-  const bool isStranger = strangers_.contains(aEvent.run_);
-  gpGuardRun* run = runs_.Find(aEvent.run_);
-  if (run == nullptr && !isStranger) {
-    return;
-  }
-  if (aEvent.reply_ == gpOrderReply::Accepted) {
-    if (run != nullptr) {
-      run->settledAt_ = now_;
-    }
-    return;
-  }
   if (aEvent.reply_ == gpOrderReply::Fence) {
     target_.RaiseFence();
   }
-  if (aEvent.reply_ == gpOrderReply::NotSent ||
-      aEvent.reply_ == gpOrderReply::OtherTarget || !target_.IsKnown()) {
-    return; // the look decides what became of the runs
+  if (aEvent.reply_ != gpOrderReply::Accepted) {
+    stops_.NoteFailed(aEvent.run_);
+    return;
+  }
+  stops_.Forget(aEvent.run_);
+  if (gpGuardRun* run = runs_.Find(aEvent.run_)) {
+    run->settledAt_ = now_;
   }
-  out_.Add(gpStopRun{ target_.Get().id_, aEvent.run_, target_.GetFence() });
 }
 
 void
 gpLeaseGuardReducer::On(const gpTargetSeen& aEvent)
 {
-  looking_ = false;
   target_.NoteClock(aEvent.clock_, now_);
   if (target_.NoteBorn(aEvent.born_)) {
     WriteTarget(gpEventKind::TargetLeaving, "another incarnation answered");
@@ -378,7 +379,7 @@
     if (aEvent.reply_ == gpOrderReply::Fence) {
       target_.RaiseFence();
     }
-    nextLookAt_ = now_ + kLookRetry;
+    looks_.NoteFailed(now_);
     // Without a listener there is no target, so what it had confirmed before
     // the look has ended with it. Later orders may have met its successor.
     // Its successor is to refuse what is still under way.
@@ -389,7 +390,7 @@
     return;
   }
   target_.NoteAnswer(now_);
-  looked_ = true;
+  looks_.NoteAnswered(now_);
   for (const gpEndedRun& ended : aEvent.ended_) {
     if (ended.position_ > seenEnds_) {
       seenEnds_ = ended.position_;
@@ -405,10 +406,14 @@
     strangers_.insert(id);
     if (!before.contains(id)) {
       WriteRun(gpEventKind::TaskCancelled, id, "not started by this guard");
-      out_.Add(gpStopRun{ target_.Get().id_, id, target_.GetFence() });
+      SendStop(id);
+    }
+  }
+  for (const gpRunId& id : before) {
+    if (!strangers_.contains(id)) {
+      stops_.Forget(id);
     }
   }
-  nextLookAt_ = now_;
 }
 
 void
@@ -433,10 +438,10 @@
 void
 gpLeaseGuardReducer::Look()
 {
-  if (looking_ || !target_.IsKnown() || now_ < nextLookAt_) {
+  if (!target_.IsKnown() || !looks_.IsDue(now_)) {
     return;
   }
-  looking_ = true;
+  looks_.NoteSent();
   gpLookAtTarget look;
   look.target_ = target_.Get().id_;
   look.fence_ = target_.GetFence();
@@ -445,7 +450,7 @@
   if (!runs_.IsEmpty() && !target_.IsSilent(now_)) {
     look.leaseEnd_ = target_.ExtendLease(now_);
     look.wait_ = kLookWait;
-  } else if (!looked_ || !strangers_.empty()) {
+  } else if (!looks_.HasAnswer() || !strangers_.empty()) {
     look.wait_ = gpMillis(0);
   }
   out_.Add(std::move(look));
@@ -479,11 +484,14 @@
 gpLeaseGuardReducer::ScheduleWake()
 {
   gpTime when = now_ + kTick;
-  if (!looking_ && target_.IsKnown()) {
-    when = std::min(when, std::max(nextLookAt_, now_ + gpMillis(1)));
+  const gpTime soonest = now_ + gpMillis(1);
+  if (!looks_.IsUnderWay() && target_.IsKnown()) {
+    when = std::min(when, std::max(looks_.GetNext(), soonest));
   }
   const gpTime tellAt = links_.GetTellTime(runs_.GetFree());
-  when = std::min(when, std::max(tellAt, now_ + gpMillis(1)));
+  when = std::min(when, std::max(tellAt, soonest));
+  const gpTime stopAt = stops_.GetNext(looks_.GetPause());
+  when = std::min(when, std::max(stopAt, soonest));
   if (wakeAt_ <= now_ || when < wakeAt_) {
     wakeAt_ = when;
     out_.Add(gpWakeAt{ when });
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -7,6 +7,8 @@
 #include "gpEntryFinder.h"
 #include "gpEntryLinks.h"
 #include "gpLeaseEvent.h"
+#include "gpLookSchedule.h"
+#include "gpPendingStops.h"
 #include "gpRunTable.h"
 #include "gpTargetSession.h"
 
@@ -78,7 +80,8 @@
   void StartOne(gpLinkId aLink, const gpRunOrder& aOrder, const gpRunId& aRun);
   /// Stops a run that may be at work, or makes sure that it never begins.
   void Stop(gpGuardRun& aRun);
-  void SendStop(const gpGuardRun& aRun);
+  void SendStop(const gpRunId& aRun);
+  void RepeatStops();
   /// The run is over: tells its entry and frees its room.
   void Finish(const gpRunId& aRun, gpRunEnd aEnd);
   /// Nothing runs at the target any more.
@@ -108,11 +111,9 @@
   gpRunTable runs_;
   /// Runs that the target shows but this incarnation hasn't started.
   std::set<gpRunId> strangers_;
+  gpPendingStops stops_;
+  gpLookSchedule looks_;
   std::uint64_t seenEnds_ = 0;
-  bool looking_ = false;
-  /// A look has been answered since the target was first heard.
-  bool looked_ = false;
-  gpTime nextLookAt_;
   gpTime lastEventAt_;
   gpTime wakeAt_;
   gpTime shutdownEnd_ = gpTime::max();
--- /dev/null
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -0,0 +1,135 @@
+#define BOOST_TEST_MODULE gpLeaseGuard
+#include <boost/test/unit_test.hpp>
+
+#include <utility>
+
+#include "gpLeaseGuardReducer.h"
+
+namespace {
+
+const gpServiceName kService("pond-order");
+const gpLinkId kLink(1);
+const gpRunId kRun{ "job.0.0.1", 1 };
+/// The way to the target and back.
+constexpr gpMillis kWay{ 1 };
+/// At this pace a target that can't be reached costs next to nothing.
+constexpr int kMostCallsASecond = 20;
+
+gpTargetAnnouncement
+MakeTarget(std::uint64_t aSequence)
+{
+  gpTargetAnnouncement target;
+  target.id_ = "t-1";
+  target.born_ = 1;
+  target.sequence_ = aSequence;
+  target.service_ = kService;
+  target.capacity_ = { 4000, 0, 0 };
+  return target;
+}
+
+/// A guard with one linked entry, and a target whose answers are all alike
+/// while it's broken.
+class GuardWithTarget
+{
+public:
+  GuardWithTarget()
+  {
+    Feed(gpTargetHeard{ MakeTarget(1) });
+    gpLinkOpened opened;
+    opened.link_ = kLink;
+    opened.peer_.role_ = gpRole::Entry;
+    opened.peer_.incarnation_ = gpIncarnation(7);
+    opened.dialed_ = gpAddress("entry:1");
+    Feed(opened);
+  }
+
+  void Feed(decltype(gpLeaseGuardEvent::input_) aInput)
+  {
+    for (gpLeaseEffect& effect : guard_.Reduce({ now_, std::move(aInput) })) {
+      if (std::holds_alternative<gpStopRun>(effect) ||
+          std::holds_alternative<gpLookAtTarget>(effect) ||
+          std::holds_alternative<gpStartRun>(effect)) {
+        calls_.push_back(std::move(effect));
+      }
+    }
+  }
+
+  void StartRun()
+  {
+    gpRunOrder order;
+    order.runs_.push_back(kRun);
+    order.needs_ = { 1000, 0, 0 };
+    Feed(gpMessageReceived{ kLink, order });
+  }
+
+  /// Answers the calls under way, each after the same time, until aTime.
+  void RunFor(gpMillis aTime, gpOrderReply aReply)
+  {
+    for (const gpTime end = now_ + aTime; now_ < end; now_ += kWay) {
+      for (const gpLeaseEffect& call : std::exchange(calls_, {})) {
+        Answer(call, aReply);
+      }
+      Feed(gpTimePassed{});
+    }
+  }
+
+  int stops_ = 0;
+  int looks_ = 0;
+
+private:
+  void Answer(const gpLeaseEffect& aCall, gpOrderReply aReply)
+  {
+    if (const auto* stop = std::get_if<gpStopRun>(&aCall)) {
+      ++stops_;
+      Feed(gpStopReplied{ stop->run_, aReply, 0 });
+    } else if (const auto* start = std::get_if<gpStartRun>(&aCall)) {
+      Feed(gpStartReplied{ start->run_, aReply, 0 });
+    } else {
+      ++looks_;
+      gpTargetSeen seen;
+      seen.sentAt_ = now_;
+      seen.reply_ = aReply;
+      Feed(seen);
+    }
+  }
+
+  gpTime now_{ gpMillis(1000) };
+  gpLeaseGuardReducer guard_{ gpLeaseGuardOptions{ kService,
+                                                   gpDataCentreName("dc-1"),
+                                                   1000,
+                                                   gpMillis(1000) } };
+  std::vector<gpLeaseEffect> calls_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(StopsThatBreakOffAreRepeatedAtAPace)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun();
+  guard.stops_ = 0;
+  guard.RunFor(gpMillis(500), gpOrderReply::Silent);
+  BOOST_TEST(guard.stops_ >= 2);
+  BOOST_TEST(guard.stops_ <= kMostCallsASecond / 2);
+}
+
+BOOST_AUTO_TEST_CASE(ATargetThatIsGoneIsLookedAtAtAPace)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.looks_ = 0;
+  guard.RunFor(gpMillis(2000), gpOrderReply::NotSent);
+  BOOST_TEST(guard.looks_ >= 4);
+  BOOST_TEST(guard.looks_ <= 2 * kMostCallsASecond);
+}
+
+BOOST_AUTO_TEST_CASE(AHeartbeatEndsThePauseBetweenLooks)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(1000), gpOrderReply::NotSent);
+  guard.looks_ = 0;
+  guard.Feed(gpTargetHeard{ MakeTarget(2) });
+  guard.RunFor(gpMillis(3), gpOrderReply::Accepted);
+  BOOST_TEST(guard.looks_ >= 1);
+}
