Lease: Let the pause between looks grow after three failures only

Cause: with orders and looks lost at random, two looks lost in a row already doubled the pause, and ends of runs were seen later.

--- a/Source/Lease/gpLookSchedule.h
+++ b/Source/Lease/gpLookSchedule.h
@@ -17,7 +17,7 @@
   /// Whether a look has been answered since the target was first heard.
   bool HasAnswer() const { return answered_; }
   /// Pause before the repetition of a call that the target didn't answer.
-  gpMillis GetPause() const { return pause_; }
+  gpMillis GetPause() const;
 
   void NoteSent() { underWay_ = true; }
   void NoteAnswered(gpTime aNow);
@@ -28,14 +28,9 @@
   void Restart(gpTime aNow);
 
 private:
-  /// Pause after the first look without an answer; several fit into the
-  /// time after which a target gets no more work.
-  static constexpr gpMillis kShortestPause{ 20 };
-  /// Pause in the end, at a target that is gone: a few looks a second.
-  static constexpr gpMillis kLongestPause{ 160 };
-
   bool underWay_ = false;
   bool answered_ = false;
   gpTime nextAt_;
-  gpMillis pause_ = kShortestPause;
+  /// Looks in a row without an answer.
+  int failures_ = 0;
 };
