Tests: Put fault proxies into the cluster on the platform's stand-ins

A run that would end after the lapse of its lease no longer ends as done when the worker looks late. Settings with a store take links/advertise, so that entries can be reached through a proxy.

--- a/Source/Configuration/gpLeaseSettingsFile.cxx
+++ b/Source/Configuration/gpLeaseSettingsFile.cxx
@@ -63,8 +63,10 @@
   site.Text(
     "data_centre", aSettings.site_.dataCentre_, kNonEmptyRule, kRequired);
   site.Finish();
-  ReadAddress(
-    aRoot.Object("links"), "listen", kListenRule, aSettings.linkListen_);
+  gpJsonObject links = aRoot.Object("links");
+  links.Text("listen", aSettings.linkListen_, kListenRule, kRequired);
+  links.Text("advertise", aSettings.linkAdvertise_, kAddressRule);
+  links.Finish();
   ReadAddress(
     aRoot.Object("status"), "listen", kListenRule, aSettings.statusListen_);
   gpJsonObject metrics = aRoot.Object("metrics");
--- a/Source/Model/gpLeaseSettings.h
+++ b/Source/Model/gpLeaseSettings.h
@@ -23,6 +23,8 @@
   gpAddress metricsListen_;
   /// Where other processes of the system connect.
   gpAddress linkListen_;
+  /// The address for links that others are told; empty: the one in use.
+  gpAddress linkAdvertise_;
   /// Entries to begin with; may be out of date.
   std::vector<gpAddress> entries_;
   gpAddress store_;
--- a/Source/Process/gpLeaseNode.cxx
+++ b/Source/Process/gpLeaseNode.cxx
@@ -24,6 +24,7 @@
   options.role_ = aRole;
   options.name_ = aSettings.name_;
   options.linkListen_ = aSettings.linkListen_;
+  options.linkAdvertise_ = aSettings.linkAdvertise_;
   options.eventLog_ = aSettings.eventLog_;
   options.links_.heartbeat_ = kLinkHeartbeat;
   options.links_.silence_ = kLinkSilence;
--- a/Tests/Integration/Platform/gpPlatformCluster.cxx
+++ b/Tests/Integration/Platform/gpPlatformCluster.cxx
@@ -16,29 +16,63 @@
 } // namespace
 
 gpPlatformCluster::gpPlatformCluster(std::size_t aEntries, std::size_t aGuards)
+  : gpPlatformCluster(gpPlatformClusterOptions{ aEntries, aGuards })
+{
+}
+
+gpPlatformCluster::gpPlatformCluster(gpPlatformClusterOptions aOptions)
+  : options_(aOptions)
 {
   store_ = StartStandIn("store", "gp-stand-in-store");
-  for (std::size_t index = 0; index < aEntries; ++index) {
+  storeAddress_ = store_->Address("service");
+  if (options_.proxies_) {
+    storeProxy_ = StartProxy("store-proxy");
+    PointProxy(*storeProxy_, storeAddress_);
+    storeAddress_ = storeProxy_->Address("service");
+  }
+  for (std::size_t index = 0; index < options_.entries_; ++index) {
     StartEntry(index);
   }
-  for (std::size_t index = 0; index < aGuards; ++index) {
+  for (std::size_t index = 0; index < options_.guards_; ++index) {
     StartGuard(index);
   }
 }
 
 std::unique_ptr<gpTestProcess>
 gpPlatformCluster::StartStandIn(const std::string& aName,
-                                const std::string& aProgram)
+                                const std::string& aProgram,
+                                const std::vector<std::string>& aMore)
 {
-  auto process = std::make_unique<gpTestProcess>(gpTestCommand{
-    .name_ = aName,
-    .program_ = aProgram,
-    .arguments_ = { "--listen", kAnyPort, "--control", kAnyPort },
-    .folder_ = folder_.Path() });
+  gpTestCommand command;
+  command.name_ = aName;
+  command.program_ = aProgram;
+  command.arguments_ = { "--listen", kAnyPort, "--control", kAnyPort };
+  command.arguments_.insert(
+    command.arguments_.end(), aMore.begin(), aMore.end());
+  command.folder_ = folder_.Path();
+  auto process = std::make_unique<gpTestProcess>(std::move(command));
   process->Start();
   return process;
 }
 
+std::unique_ptr<gpTestProcess>
+gpPlatformCluster::StartProxy(const std::string& aName)
+{
+  return StartStandIn(aName, "gp-stand-in-proxy");
+}
+
+void
+gpPlatformCluster::PointProxy(gpTestProcess& aProxy, const gpAddress& aServer)
+{
+  Control(aProxy, R"({"to":")" + aServer.value_ + R"("})");
+}
+
+std::filesystem::path
+gpPlatformCluster::WorkerJournal(std::size_t aIndex) const
+{
+  return folder_.Path() / ("worker-" + std::to_string(aIndex) + ".journal");
+}
+
 std::string
 gpPlatformCluster::WriteSettings(const std::string& aName,
                                  const std::string& aText)
@@ -53,62 +87,105 @@
 {
   return R"({"name":")" + aName +
          R"(","site":{"region":"r","data_centre":"dc-1"},)"
-         R"("links":{"listen":"127.0.0.1:0"},)"
          R"("status":{"listen":"127.0.0.1:0"},"grace_ms":4000,)"
          R"("store":{"address":")" +
-         store_->Address("service").value_ + R"("},"entries":{"addresses":[)" +
-         entryLinks_ + "]},";
+         storeAddress_.value_ + R"("},"entries":{"addresses":[)" + entryLinks_ +
+         "]},";
 }
 
 void
 gpPlatformCluster::StartEntry(std::size_t aIndex)
 {
   const std::string name = "entry-" + std::to_string(aIndex);
+  std::string links = R"("links":{"listen":"127.0.0.1:0")";
+  if (options_.proxies_) {
+    entryProxies_.push_back(StartProxy(name + "-proxy"));
+    links += R"(,"advertise":")" +
+             entryProxies_.back()->Address("service").value_ + "\"";
+  }
   const std::string file = WriteSettings(
-    name, CommonSettings(name) + R"("callers":{"listen":"127.0.0.1:0"}})");
-  auto process = std::make_unique<gpTestProcess>(
+    name,
+    CommonSettings(name) + links + R"(},"callers":{"listen":"127.0.0.1:0"}})");
+  entries_.push_back(std::make_unique<gpTestProcess>(
     gpTestCommand{ .name_ = name,
                    .program_ = "gypsumpoint-entry",
                    .arguments_ = { "--config", file },
-                   .folder_ = folder_.Path() });
-  process->Start();
-  entryLinks_ += (entryLinks_.empty() ? "\"" : ",\"") +
-                 process->Address("links").value_ + "\"";
-  entries_.push_back(std::move(process));
+                   .folder_ = folder_.Path() }));
+  StartEntryAgain(aIndex);
+  const gpAddress address = options_.proxies_
+                              ? EntryProxy(aIndex).Address("service")
+                              : Entry(aIndex).Address("links");
+  entryLinks_ += (entryLinks_.empty() ? "\"" : ",\"") + address.value_ + "\"";
+}
+
+void
+gpPlatformCluster::StartEntryAgain(std::size_t aIndex)
+{
+  Entry(aIndex).Start();
+  if (options_.proxies_) {
+    PointProxy(EntryProxy(aIndex), Entry(aIndex).Address("links"));
+  }
 }
 
 void
 gpPlatformCluster::StartGuard(std::size_t aIndex)
 {
   const std::string number = std::to_string(aIndex);
-  auto worker = StartStandIn("worker-" + number, "gp-stand-in-worker");
+  const std::string worker = "worker-" + number;
+  workers_.push_back(
+    StartStandIn(worker,
+                 "gp-stand-in-worker",
+                 { "--journal", WorkerJournal(aIndex).string() }));
+  gpAddress address = Worker(aIndex).Address("service");
+  if (options_.proxies_) {
+    workerProxies_.push_back(StartProxy(worker + "-proxy"));
+    PointProxy(WorkerProxy(aIndex), address);
+    address = WorkerProxy(aIndex).Address("service");
+  }
   const std::string name = "guard-" + number;
-  const std::string file =
-    WriteSettings(name,
-                  CommonSettings(name) +
-                    R"("target":{"listen":"127.0.0.1:0",)"
-                    R"("service":"ponds","address":")" +
-                    worker->Address("service").value_ + R"("}})");
-  auto process = std::make_unique<gpTestProcess>(
+  const std::string file = WriteSettings(
+    name,
+    CommonSettings(name) +
+      R"("links":{"listen":"127.0.0.1:0"},"target":{"listen":"127.0.0.1:0",)"
+      R"("service":"ponds","address":")" +
+      address.value_ + R"("}})");
+  guards_.push_back(std::make_unique<gpTestProcess>(
     gpTestCommand{ .name_ = name,
                    .program_ = "gypsumpoint-guard",
                    .arguments_ = { "--config", file },
-                   .folder_ = folder_.Path() });
-  process->Start();
-  Control(*worker,
-          R"({"guard":")" + process->Address("target").value_ + R"("})");
-  workers_.push_back(std::move(worker));
-  guards_.push_back(std::move(process));
+                   .folder_ = folder_.Path() }));
+  StartGuardAgain(aIndex);
+}
+
+void
+gpPlatformCluster::StartGuardAgain(std::size_t aIndex)
+{
+  Guard(aIndex).Start();
+  TellWorker(aIndex);
+}
+
+void
+gpPlatformCluster::StartWorkerAgain(std::size_t aIndex)
+{
+  Worker(aIndex).Start();
+  if (options_.proxies_) {
+    PointProxy(WorkerProxy(aIndex), Worker(aIndex).Address("service"));
+  }
+  TellWorker(aIndex);
+}
+
+void
+gpPlatformCluster::TellWorker(std::size_t aIndex)
+{
+  Control(Worker(aIndex),
+          R"({"guard":")" + Guard(aIndex).Address("target").value_ + R"("})");
 }
 
 void
 gpPlatformCluster::RestartGuard(std::size_t aIndex)
 {
-  gpTestProcess& guard = *guards_[aIndex];
-  guard.Kill();
-  guard.Start();
-  Control(*workers_[aIndex],
-          R"({"guard":")" + guard.Address("target").value_ + R"("})");
+  Guard(aIndex).Kill();
+  StartGuardAgain(aIndex);
 }
 
 gpHttpReply
--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -699,8 +699,10 @@
       continue;
     }
     target->Advance(now_);
-    for (const gpRunId& done : target->TakeDone()) {
-      doneTasks_[JobOf(done.task_)].insert(done.task_);
+    for (const gpSimEnd& end : target->TakeEnds()) {
+      if (end.end_ == gpRunEnd::Done) {
+        doneTasks_[JobOf(end.run_.task_)].insert(end.run_.task_);
+      }
     }
     gpResources used;
     for (const auto& [id, run] : target->GetRunning()) {
--- a/Tests/Lease/gpSimTarget.cxx
+++ b/Tests/Lease/gpSimTarget.cxx
@@ -28,31 +28,38 @@
   return 1 + static_cast<std::uint64_t>(passed.count() * rate_);
 }
 
+gpTime
+gpSimTarget::GetLapse() const
+{
+  const std::chrono::duration<double, std::milli> left(
+    static_cast<double>(leaseEnd_) / rate_);
+  return startedAt_ + std::chrono::duration_cast<gpMicros>(left);
+}
+
 void
 gpSimTarget::Advance(gpTime aNow)
 {
-  std::vector<std::pair<gpRunId, gpRunEnd>> ends;
+  const bool hasLapsed = GetClock(aNow) > leaseEnd_;
+  const gpTime lapse = std::min(GetLapse(), aNow);
+  const gpTime until = hasLapsed ? lapse : aNow;
+  std::vector<gpSimRun> over;
   for (const auto& [id, run] : running_) {
-    if (!run.hangs_ && run.endsAt_ <= aNow) {
-      ends.emplace_back(id, run.fails_ ? gpRunEnd::Failed : gpRunEnd::Done);
+    if (!run.hangs_ && run.endsAt_ <= until) {
+      over.push_back(run);
     }
   }
-  for (const auto& [id, end] : ends) {
-    End(id, end);
+  for (const gpSimRun& run : over) {
+    End(run.run_, run.fails_ ? gpRunEnd::Failed : gpRunEnd::Done, run.endsAt_);
   }
-  if (GetClock(aNow) > leaseEnd_) {
-    while (!running_.empty()) {
-      End(running_.begin()->first, gpRunEnd::Stopped);
-    }
+  while (hasLapsed && !running_.empty()) {
+    End(running_.begin()->first, gpRunEnd::Stopped, lapse);
   }
 }
 
 void
-gpSimTarget::End(const gpRunId& aRun, gpRunEnd aEnd)
+gpSimTarget::End(const gpRunId& aRun, gpRunEnd aEnd, gpTime aAt)
 {
-  if (aEnd == gpRunEnd::Done) {
-    done_.push_back(aRun);
-  }
+  newEnds_.push_back({ aRun, aEnd, aAt });
   ends_.push_back({ ++lastEnd_, aRun, aEnd });
   std::uint64_t& highest = highest_[aRun.task_];
   highest = std::max(highest, aRun.number_);
@@ -106,7 +113,7 @@
     return gpOrderReply::Fence;
   }
   if (running_.contains(aOrder.run_)) {
-    End(aOrder.run_, gpRunEnd::Stopped);
+    End(aOrder.run_, gpRunEnd::Stopped, aNow);
   }
   std::uint64_t& highest = highest_[aOrder.run_.task_];
   highest = std::max(highest, aOrder.run_.number_);
--- a/Tests/Lease/gpSimTarget.h
+++ b/Tests/Lease/gpSimTarget.h
@@ -21,6 +21,16 @@
   gpResources needs_;
 };
 
+/** \class gpSimEnd
+ * \brief How and when a run at a simulated target ended.
+ */
+struct gpSimEnd
+{
+  gpRunId run_;
+  gpRunEnd end_ = gpRunEnd::Done;
+  gpTime at_;
+};
+
 /** \class gpSimTarget
  * \brief A target as the platform's pages describe it: runs under one lease,
  * fences, run numbers that rise, and a list of ends.
@@ -45,14 +55,16 @@
   const std::map<gpRunId, gpSimRun>& GetRunning() const { return running_; }
   const std::string& GetId() const { return id_; }
   std::uint64_t GetBorn() const { return born_; }
-  /// Runs that ended as done since the last call.
-  std::vector<gpRunId> TakeDone() { return std::exchange(done_, {}); }
+  /// Runs that ended since the last call.
+  std::vector<gpSimEnd> TakeEnds() { return std::exchange(newEnds_, {}); }
 
 private:
   /// Raises the fence. False if the order's is lower than one seen.
   bool Accept(std::uint64_t aFence);
   void Extend(std::uint64_t aLeaseEnd, gpTime aNow);
-  void End(const gpRunId& aRun, gpRunEnd aEnd);
+  void End(const gpRunId& aRun, gpRunEnd aEnd, gpTime aAt);
+  /// When the lease ends on the time line of the others.
+  gpTime GetLapse() const;
 
   std::string id_;
   std::uint64_t born_;
@@ -65,5 +77,5 @@
   std::map<std::string, std::uint64_t> highest_;
   std::vector<gpEndedRun> ends_;
   std::uint64_t lastEnd_ = 0;
-  std::vector<gpRunId> done_;
+  std::vector<gpSimEnd> newEnds_;
 };
--- /dev/null
+++ b/Tests/StandIns/gpRunJournal.cxx
@@ -0,0 +1,56 @@
+#include "gpRunJournal.h"
+
+#include <boost/json.hpp>
+
+#include "gpError.h"
+
+namespace {
+
+const char*
+EndName(gpRunEnd aEnd)
+{
+  if (aEnd == gpRunEnd::Done) {
+    return "done";
+  }
+  return aEnd == gpRunEnd::Failed ? "failed" : "stopped";
+}
+
+} // namespace
+
+absl::Status
+gpRunJournal::Open(const std::string& aFile)
+{
+  file_.open(aFile, std::ios::app);
+  return file_ ? absl::OkStatus()
+               : gpMakeError(gpErrorCode::Io, "can't write " + aFile);
+}
+
+void
+gpRunJournal::NoteStarted(const gpRunId& aRun, gpTime aNow)
+{
+  Write(aRun, "started", aNow);
+}
+
+void
+gpRunJournal::NoteEnds(const std::vector<gpSimEnd>& aEnds)
+{
+  for (const gpSimEnd& end : aEnds) {
+    Write(end.run_, EndName(end.end_), end.at_);
+  }
+}
+
+void
+gpRunJournal::Write(const gpRunId& aRun, const char* aEvent, gpTime aAt)
+{
+  if (!file_.is_open()) {
+    return;
+  }
+  const auto at = std::chrono::duration_cast<gpMicros>(aAt.time_since_epoch());
+  // Flushed, as the process may be killed at any moment.
+  file_ << boost::json::serialize(
+             boost::json::object{ { "task", aRun.task_ },
+                                  { "number", aRun.number_ },
+                                  { "event", aEvent },
+                                  { "at_us", at.count() } })
+        << std::endl;
+}
--- a/Tests/StandIns/gpStandInWorker.cxx
+++ b/Tests/StandIns/gpStandInWorker.cxx
@@ -3,6 +3,7 @@
 #include <string>
 
 #include <boost/json.hpp>
+#include <boost/program_options/value_semantic.hpp>
 
 #include "gpControlFields.h"
 #include "gpControlServer.h"
@@ -36,7 +37,7 @@
 }
 
 absl::Status
-Run(const gpStandInOptions& aOptions)
+Run(const gpStandInOptions& aOptions, const std::string& aJournal)
 {
   gpEventLoop loop;
   gpTimerService timers(loop);
@@ -48,6 +49,11 @@
         [&](const std::string& /*aTarget*/) {
           return boost::json::serialize(worker.Show());
         } });
+  if (!aJournal.empty()) {
+    if (absl::Status status = worker.OpenJournal(aJournal); !status.ok()) {
+      return status;
+    }
+  }
   const absl::StatusOr<gpAddress> address = worker.Listen(aOptions.listen_);
   if (!address.ok()) {
     return address.status();
@@ -66,10 +72,14 @@
 int
 main(int aCount, char** aArguments)
 {
-  const boost::program_options::options_description own("gp-stand-in-worker");
+  std::string journal;
+  boost::program_options::options_description own("gp-stand-in-worker");
+  own.add_options()("journal",
+                    boost::program_options::value(&journal),
+                    "file for the starts and ends of runs");
   gpStandInOptions options;
   if (!gpParseStandInOptions(aCount, aArguments, own, options)) {
     return 2;
   }
-  return gpExitCode(Run(options));
+  return gpExitCode(Run(options, journal));
 }
--- a/Tests/StandIns/gpWorkerStandIn.cxx
+++ b/Tests/StandIns/gpWorkerStandIn.cxx
@@ -88,6 +88,25 @@
   return server_.Listen(aAddress);
 }
 
+absl::Status
+gpWorkerStandIn::OpenJournal(const std::string& aFile)
+{
+  absl::Status status = journal_.Open(aFile);
+  if (status.ok()) {
+    Advance();
+  }
+  return status;
+}
+
+void
+gpWorkerStandIn::Advance()
+{
+  const gpTime now = gpEventLoop::Now();
+  target_.Advance(now);
+  journal_.NoteEnds(target_.TakeEnds());
+  timers_.Subscribe(now + kLook, [this] { Advance(); });
+}
+
 void
 gpWorkerStandIn::SetGuard(const gpAddress& aGuard)
 {
@@ -153,6 +172,7 @@
   const gpOrderReply reply = target_.Start(order, run, gpEventLoop::Now());
   if (reply == gpOrderReply::Accepted && isNew) {
     ++starts_[order.run_.task_];
+    journal_.NoteStarted(order.run_, gpEventLoop::Now());
   }
   return Answer(reply);
 }
--- a/Tests/StandIns/gpWorkerStandIn.h
+++ b/Tests/StandIns/gpWorkerStandIn.h
@@ -10,6 +10,7 @@
 #include "gpHttpClient.h"
 #include "gpHttpServer.h"
 #include "gpIds.h"
+#include "gpRunJournal.h"
 #include "gpSimTarget.h"
 #include "gpTimerService.h"
 
@@ -25,6 +26,8 @@
   gpWorkerStandIn(gpEventLoop& aLoop, gpTimerService& aTimers);
 
   absl::StatusOr<gpAddress> Listen(const gpAddress& aAddress);
+  /// Writes all starts and ends to the file from now on.
+  absl::Status OpenJournal(const std::string& aFile);
   /// Sends heartbeats there from now on.
   void SetGuard(const gpAddress& aGuard);
   void SetDraining(bool aDraining) { draining_ = aDraining; }
@@ -41,6 +44,8 @@
   void AnswerHold(gpRequestId aRequest, const gpLookAtTarget& aLook);
   gpHttpResponse Answer(gpOrderReply aReply) const;
   void Beat();
+  /// Ends what has come due, and writes it to the journal.
+  void Advance();
 
   gpTimerService& timers_;
   gpHttpServer server_;
@@ -51,5 +56,6 @@
   std::uint64_t loseStarts_ = 0;
   bool draining_ = false;
   bool beating_ = false;
+  gpRunJournal journal_;
   std::map<std::string, std::uint64_t> starts_;
 };
