Lease: Judge overdue jobs in a module of their own

gpLeaseOverdue says what time asks of a job (give up, take back a lost run, recall a long one), without effects, and has tests of its own; the entry's reducer carries it out. No change of behaviour.

--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -5,22 +5,13 @@
 #include <utility>
 
 #include "gpLeaseLines.h"
-#include "gpLeaseTimings.h"
+#include "gpLeaseOverdue.h"
 #include "gpScaled.h"
 
 namespace {
 
 /// Period of housekeeping.
 constexpr gpMillis kTick{ 20 };
-/// A guard whose link broke is linked again sooner, if it can be reached.
-constexpr gpMillis kRelinkTime{ 300 };
-/// No task takes less than this part of its estimate.
-constexpr double kLeastOfEstimate = 0.3;
-/// A run that takes so many times its estimate, and the pause, is stopped and
-/// placed elsewhere. Estimates are off by up to a half, and targets differ in
-/// speed by over two.
-constexpr double kRecallFactor = 4.0;
-constexpr gpMillis kRecallPause{ 150 };
 /// Waiting tasks without room that are looked at before the others wait too.
 constexpr int kMostMisses = 8;
 /// Callers that are refused at a shutdown find another entry in this time.
@@ -300,9 +291,7 @@
   if (aEnd == gpRunEnd::Failed) {
     ++task.failures_;
     if (task.failures_ >= aJob.queue_.maxAttempts_) {
-      EndJob(
-        aJob,
-        { gpLeaseOutcome::Failed, gpLeaseReason::TaskFailed, std::nullopt });
+      FailJob(aJob, gpLeaseReason::TaskFailed);
       return;
     }
   } else if (aEnd != gpRunEnd::Stopped) {
@@ -421,53 +410,32 @@
 void
 gpLeaseEntryReducer::GiveUpOrRecall(gpLeaseRecord& aJob)
 {
-  if (aJob.begun_ == 0 && now_ >= aJob.startBy_) {
-    EndJob(aJob, admission_.RefuseOverloaded(aJob));
-    return;
-  }
-  if (now_ >= aJob.deadline_) {
-    EndJob(aJob,
-           { gpLeaseOutcome::Failed,
-             gpLeaseReason::DeadlineExceeded,
-             std::nullopt });
-    return;
-  }
-  for (std::size_t index = 0; index < aJob.tasks_.size(); ++index) {
-    const gpLeaseTask& task = aJob.tasks_[index];
-    const gpTime earliestEnd =
-      now_ + gpScaled(aJob.GetStep(task).estimate_, kLeastOfEstimate);
-    if (task.phase_ == gpLeaseTaskPhase::Waiting &&
-        earliestEnd >= aJob.deadline_) {
-      EndJob(aJob,
-             { gpLeaseOutcome::Failed,
-               gpLeaseReason::DeadlineExceeded,
-               std::nullopt });
+  const gpLeaseOverdue overdue = gpFindOverdue(aJob, now_);
+  switch (overdue.verdict_) {
+    case gpLeaseVerdict::NeverBegun:
+      EndJob(aJob, admission_.RefuseOverloaded(aJob));
       return;
-    }
-    if (task.phase_ == gpLeaseTaskPhase::Lost && !AwaitLost(aJob, index)) {
+    case gpLeaseVerdict::TooLate:
+      FailJob(aJob, gpLeaseReason::DeadlineExceeded);
       return;
-    }
-    Recall(aJob, index);
+    case gpLeaseVerdict::TargetLost:
+      FailJob(aJob, gpLeaseReason::TargetLost);
+      return;
+    case gpLeaseVerdict::GoOn:
+      break;
+  }
+  for (const std::size_t task : overdue.over_) {
+    OnTaskBack(aJob, task, gpRunEnd::Stopped);
+  }
+  for (const std::size_t task : overdue.recalled_) {
+    Recall(aJob, task);
   }
 }
 
-bool
-gpLeaseEntryReducer::AwaitLost(gpLeaseRecord& aJob, std::size_t aTask)
+void
+gpLeaseEntryReducer::FailJob(gpLeaseRecord& aJob, gpLeaseReason aReason)
 {
-  const gpLeaseTask& task = aJob.tasks_[aTask];
-  const gpTime freeAt = task.lostAt_ + kLinkLossBound;
-  if (now_ >= freeAt) {
-    OnTaskBack(aJob, aTask, gpRunEnd::Stopped);
-    return true;
-  }
-  const gpTime earliestEnd =
-    freeAt + gpScaled(aJob.GetStep(task).estimate_, kLeastOfEstimate);
-  if (now_ >= task.lostAt_ + kRelinkTime && earliestEnd >= aJob.deadline_) {
-    EndJob(aJob,
-           { gpLeaseOutcome::Failed, gpLeaseReason::TargetLost, std::nullopt });
-    return false;
-  }
-  return true;
+  EndJob(aJob, { gpLeaseOutcome::Failed, aReason, std::nullopt });
 }
 
 void
@@ -475,8 +443,7 @@
 {
   gpLeaseTask& task = aJob.tasks_[aTask];
   const gpTargetView* view = board_.Find(task.guard_);
-  if (task.phase_ != gpLeaseTaskPhase::Sent || now_ < task.recallAt_ ||
-      view == nullptr) {
+  if (view == nullptr) {
     return;
   }
   task.recallAt_ = gpTime::max();
@@ -520,8 +487,7 @@
   jobs_.Send(aJob, aTask, aGuard, orders_.NextNumber(now_));
   gpLeaseTask& task = aJob.tasks_[aTask];
   const gpJobStep& step = aJob.GetStep(task);
-  task.recallAt_ =
-    now_ + kRecallPause + gpScaled(step.estimate_, kRecallFactor);
+  task.recallAt_ = gpRecallTime(step, now_);
   board_.NoteSent(aGuard, task.run_, step.needs_, step.estimate_, now_);
   const gpTargetView& view = *board_.Find(aGuard);
   orders_.Add(view.link_, aJob.job_, task.step_, task.run_);
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -84,14 +84,13 @@
   void Refuse(const gpLeaseJobSubmitted& aEvent, const gpLeaseAnswer& aAnswer);
   /// Answers the caller, stops what runs and forgets the job.
   void EndJob(gpLeaseRecord& aJob, const gpLeaseAnswer& aAnswer);
+  void FailJob(gpLeaseRecord& aJob, gpLeaseReason aReason);
   void StopRuns(const gpLeaseRecord& aJob);
   void OnTaskDone(gpLeaseRecord& aJob, std::size_t aTask);
   void OnTaskBack(gpLeaseRecord& aJob, std::size_t aTask, gpRunEnd aEnd);
   /// Gives up what can't be served any more.
   void GiveUpLate();
   void GiveUpOrRecall(gpLeaseRecord& aJob);
-  /// Waits for a lost run to be over. False if the job was given up.
-  bool AwaitLost(gpLeaseRecord& aJob, std::size_t aTask);
   /// Stops a run that is far too late, to place the task elsewhere.
   void Recall(gpLeaseRecord& aJob, std::size_t aTask);
   /// Sends waiting tasks to targets with room.
--- /dev/null
+++ b/Source/Lease/gpLeaseOverdue.cxx
@@ -0,0 +1,79 @@
+#include "gpLeaseOverdue.h"
+
+#include "gpLeaseTimings.h"
+#include "gpScaled.h"
+
+namespace {
+
+/// A guard whose link broke is linked again sooner, if it can be reached.
+constexpr gpMillis kRelinkTime{ 300 };
+/// No task takes less than this part of its estimate.
+constexpr double kLeastOfEstimate = 0.3;
+/// A run that takes so many times its estimate, and the pause, is stopped and
+/// placed elsewhere. Estimates are off by up to a half, and targets differ in
+/// speed by over two.
+constexpr double kRecallFactor = 4.0;
+constexpr gpMillis kRecallPause{ 150 };
+
+/// Whether a task that starts then can't end before the caller's deadline.
+bool
+EndsTooLate(const gpLeaseRecord& aJob, const gpLeaseTask& aTask, gpTime aStart)
+{
+  const auto least = gpScaled(aJob.GetStep(aTask).estimate_, kLeastOfEstimate);
+  return aStart + least >= aJob.deadline_;
+}
+
+/// What becomes of a task whose guard was lost and may be linked again.
+void
+JudgeLost(const gpLeaseRecord& aJob,
+          std::size_t aTask,
+          gpTime aNow,
+          gpLeaseOverdue& aOut)
+{
+  const gpLeaseTask& task = aJob.tasks_[aTask];
+  const gpTime freeAt = task.lostAt_ + kLinkLossBound;
+  if (aNow >= freeAt) {
+    aOut.over_.push_back(aTask);
+  } else if (aNow >= task.lostAt_ + kRelinkTime &&
+             EndsTooLate(aJob, task, freeAt)) {
+    aOut.verdict_ = gpLeaseVerdict::TargetLost;
+  }
+}
+
+} // namespace
+
+gpTime
+gpRecallTime(const gpJobStep& aStep, gpTime aNow)
+{
+  return aNow + kRecallPause + gpScaled(aStep.estimate_, kRecallFactor);
+}
+
+gpLeaseOverdue
+gpFindOverdue(const gpLeaseRecord& aJob, gpTime aNow)
+{
+  gpLeaseOverdue found;
+  if (aJob.begun_ == 0 && aNow >= aJob.startBy_) {
+    found.verdict_ = gpLeaseVerdict::NeverBegun;
+    return found;
+  }
+  if (aNow >= aJob.deadline_) {
+    found.verdict_ = gpLeaseVerdict::TooLate;
+    return found;
+  }
+  for (std::size_t index = 0; index < aJob.tasks_.size(); ++index) {
+    const gpLeaseTask& task = aJob.tasks_[index];
+    if (task.phase_ == gpLeaseTaskPhase::Waiting &&
+        EndsTooLate(aJob, task, aNow)) {
+      found.verdict_ = gpLeaseVerdict::TooLate;
+    } else if (task.phase_ == gpLeaseTaskPhase::Lost) {
+      JudgeLost(aJob, index, aNow, found);
+    } else if (task.phase_ == gpLeaseTaskPhase::Sent &&
+               aNow >= task.recallAt_) {
+      found.recalled_.push_back(index);
+    }
+    if (found.verdict_ != gpLeaseVerdict::GoOn) {
+      break;
+    }
+  }
+  return found;
+}
--- a/Tests/Lease/testLeaseParts.cxx
+++ b/Tests/Lease/testLeaseParts.cxx
@@ -3,6 +3,8 @@
 
 #include "gpEntryFinder.h"
 #include "gpLeaseJobTable.h"
+#include "gpLeaseOverdue.h"
+#include "gpLeaseTimings.h"
 #include "gpLengthEstimator.h"
 #include "gpRunTable.h"
 #include "gpTargetBoard.h"
@@ -256,3 +258,73 @@
   jobs.Remove(job.sequence_);
   BOOST_TEST(jobs.GetWaiting().empty());
 }
+
+namespace {
+
+/// A job of one task, estimated at 100 ms, whose caller waits for 1.5 s.
+gpLeaseRecord
+MakeRecord(gpLeaseTaskPhase aPhase)
+{
+  gpLeaseRecord record;
+  record.job_.steps_.push_back({ 1, Cores(1000), gpMillis(100), {} });
+  record.startBy_ = kNow + gpMillis(300);
+  record.deadline_ = kNow + gpMillis(1500);
+  gpLeaseTask task;
+  task.phase_ = aPhase;
+  task.lostAt_ = kNow;
+  task.recallAt_ = gpRecallTime(record.job_.steps_[0], kNow);
+  record.tasks_.push_back(task);
+  record.begun_ = aPhase == gpLeaseTaskPhase::Waiting ? 0 : 1;
+  return record;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AJobThatNeverBeganIsRefusedInTime)
+{
+  const auto record = MakeRecord(gpLeaseTaskPhase::Waiting);
+  const auto verdictAt = [&](gpTime aTime) {
+    return gpFindOverdue(record, aTime).verdict_;
+  };
+  BOOST_TEST((verdictAt(kNow) == gpLeaseVerdict::GoOn));
+  BOOST_TEST((verdictAt(record.startBy_) == gpLeaseVerdict::NeverBegun));
+}
+
+BOOST_AUTO_TEST_CASE(AJobIsGivenUpOnceItCantEndInTime)
+{
+  gpLeaseRecord record = MakeRecord(gpLeaseTaskPhase::Waiting);
+  record.begun_ = 1;
+  const gpTime lastStart = record.deadline_ - gpMillis(30);
+  const auto before = gpFindOverdue(record, lastStart - gpMillis(1));
+  BOOST_TEST((before.verdict_ == gpLeaseVerdict::GoOn));
+  const auto after = gpFindOverdue(record, lastStart);
+  BOOST_TEST((after.verdict_ == gpLeaseVerdict::TooLate));
+}
+
+BOOST_AUTO_TEST_CASE(ALostRunIsOverAfterTheBoundOnly)
+{
+  const auto record = MakeRecord(gpLeaseTaskPhase::Lost);
+  const gpTime freeAt = kNow + kLinkLossBound;
+  BOOST_TEST(gpFindOverdue(record, freeAt - gpMillis(1)).over_.empty());
+  BOOST_TEST(gpFindOverdue(record, freeAt).over_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ALostRunThatLeavesNoTimeEndsItsJob)
+{
+  gpLeaseRecord record = MakeRecord(gpLeaseTaskPhase::Lost);
+  record.deadline_ = kNow + kLinkLossBound + gpMillis(20);
+  const auto verdictAfter = [&](gpMillis aTime) {
+    return gpFindOverdue(record, kNow + aTime).verdict_;
+  };
+  // Until then, the guard may be linked again and say what it holds.
+  BOOST_TEST((verdictAfter(gpMillis(200)) == gpLeaseVerdict::GoOn));
+  BOOST_TEST((verdictAfter(gpMillis(350)) == gpLeaseVerdict::TargetLost));
+}
+
+BOOST_AUTO_TEST_CASE(ALongRunIsRecalled)
+{
+  const auto record = MakeRecord(gpLeaseTaskPhase::Sent);
+  const gpTime recallAt = record.tasks_[0].recallAt_;
+  BOOST_TEST(gpFindOverdue(record, recallAt - gpMillis(1)).recalled_.empty());
+  BOOST_TEST(gpFindOverdue(record, recallAt).recalled_.size() == 1U);
+}
