Lease: Look again at once after a lost look, and at a new incarnation

Change: a look that follows a lost one doesn't wait for ends, so that its own loss is noticed after 25 ms; a heartbeat of a new incarnation is followed by a look although one is under way.

--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -379,7 +379,7 @@
     if (aEvent.reply_ == gpOrderReply::Fence) {
       target_.RaiseFence();
     }
-    looks_.NoteFailed(now_);
+    looks_.NoteFailed(aEvent.sentAt_, now_);
     // The target may live and only be out of reach, so its runs are over when
     // its lease has lapsed.
     if (aEvent.reply_ == gpOrderReply::NotSent) {
@@ -388,7 +388,7 @@
     return;
   }
   target_.NoteAnswer(now_);
-  looks_.NoteAnswered(now_);
+  looks_.NoteAnswered(aEvent.sentAt_, now_);
   for (const gpEndedRun& ended : aEvent.ended_) {
     if (ended.position_ > seenEnds_) {
       seenEnds_ = ended.position_;
@@ -448,7 +448,8 @@
   if (!runs_.IsEmpty() && !target_.IsSilent(now_)) {
     look.leaseEnd_ = target_.ExtendLease(now_);
     look.wait_ = kLookWait;
-  } else if (!looks_.HasAnswer() || !strangers_.empty()) {
+  }
+  if (!looks_.HasAnswer() || looks_.HasFailed() || !strangers_.empty()) {
     look.wait_ = gpMillis(0);
   }
   out_.Add(std::move(look));
--- a/Source/Lease/gpLookSchedule.cxx
+++ b/Source/Lease/gpLookSchedule.cxx
@@ -25,8 +25,11 @@
 }
 
 void
-gpLookSchedule::NoteAnswered(gpTime aNow)
+gpLookSchedule::NoteAnswered(gpTime aSentAt, gpTime aNow)
 {
+  if (aSentAt < restartedAt_) {
+    return;
+  }
   underWay_ = false;
   answered_ = true;
   nextAt_ = aNow;
@@ -34,8 +37,11 @@
 }
 
 void
-gpLookSchedule::NoteFailed(gpTime aNow)
+gpLookSchedule::NoteFailed(gpTime aSentAt, gpTime aNow)
 {
+  if (aSentAt < restartedAt_) {
+    return;
+  }
   underWay_ = false;
   ++failures_;
   nextAt_ = aNow + GetPause();
@@ -53,6 +59,8 @@
 void
 gpLookSchedule::Restart(gpTime aNow)
 {
+  underWay_ = false;
+  restartedAt_ = aNow;
   answered_ = false;
   nextAt_ = aNow;
   failures_ = 0;
--- a/Tests/Soak/testSoak.cxx
+++ b/Tests/Soak/testSoak.cxx
@@ -47,6 +47,16 @@
 
 } // namespace
 
+/// Seeds that failed once stay here, each with its cause. They are played as
+/// long as the plans stay as they are.
+BOOST_AUTO_TEST_CASE(SeedsThatFailedBeforeKeepThePromises)
+{
+  // A refused connection to a worker that lived was taken for its end: two runs
+  // of a task at one time.
+  RunSeed(8, 1);
+  RunSeed(14, 1);
+}
+
 BOOST_AUTO_TEST_CASE(SeedsKeepThePromises)
 {
   const std::uint64_t first = NumberFrom("GP_SOAK_SEED", 1);
