Entry: Answer the jobs that are left at the end of a shutdown

Cause: a job had lost a run with its guard (frozen, link silent) and waited for the bound of the lost link when the time for the shutdown ended; the process stopped without an answer. Ruled out: requests that were never read (the entry's log shows the job admitted 1.9 s before the end).

Change: at that time the jobs that are left are answered, 'not run' where no task was sent, and failed otherwise; then the process stops.

--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -531,13 +531,31 @@
     return;
   }
   const gpTime end = shutdownAt_ + options_.shutdown_;
-  const bool isIdle = IsEnding() && jobs_.GetAll().empty();
-  if (isIdle || now_ >= end) {
+  if (now_ >= end) {
+    AnswerAll();
+  }
+  if (IsEnding() && jobs_.GetAll().empty()) {
     stopped_ = true;
     out_.Add(gpStop{});
   }
 }
 
+void
+gpLeaseEntryReducer::AnswerAll()
+{
+  while (!jobs_.GetAll().empty()) {
+    gpLeaseRecord& job = jobs_.GetAll().begin()->second;
+    if (job.begun_ > 0) {
+      FailJob(job, gpLeaseReason::ShuttingDown);
+    } else {
+      EndJob(job,
+             { gpLeaseOutcome::NotRun,
+               gpLeaseReason::ShuttingDown,
+               kShutdownRetry });
+    }
+  }
+}
+
 void
 gpLeaseEntryReducer::ScheduleWake()
 {
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -101,6 +101,8 @@
   /// Whether no more jobs are taken in, as the process ends soon.
   bool IsEnding() const;
   void ContinueShutdown();
+  /// The time for the shutdown is over: gives up the jobs that are left.
+  void AnswerAll();
   void ScheduleWake();
   void WriteJob(gpEventKind aKind,
                 const gpLeaseRecord& aJob,
--- /dev/null
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -0,0 +1,120 @@
+#define BOOST_TEST_MODULE gpLeaseEntry
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <utility>
+
+#include "gpLeaseEntryReducer.h"
+
+namespace {
+
+const gpServiceName kService("pond-order");
+const gpLinkId kLink(1);
+const gpIncarnation kGuard(7);
+constexpr gpMillis kShutdown{ 3000 };
+constexpr gpMillis kPatience{ 20000 };
+
+gpQueueTable
+MakeQueues()
+{
+  gpQueue queue;
+  queue.name_ = gpQueueName("hold");
+  queue.host_ = "ponds";
+  queue.prefix_ = "/hold/";
+  queue.service_ = kService;
+  queue.maxAttempts_ = 2;
+  queue.stretch_ = 1.6;
+  queue.allowance_ = gpMillis(60000);
+  gpQueueTable table;
+  table.version_ = gpConfigVersion(1);
+  table.queues_.push_back(queue);
+  return table;
+}
+
+gpLeaseJob
+MakeJob(const std::string& aId)
+{
+  gpLeaseJob job;
+  job.id_ = aId;
+  job.host_ = "ponds";
+  job.path_ = "/hold/" + aId;
+  job.steps_.push_back({ 1, { 1000, 0, 0 }, gpMillis(100), {} });
+  job.patience_ = kPatience;
+  return job;
+}
+
+/// An entry with one guard, whose target has room for one task.
+class EntryWithGuard
+{
+public:
+  EntryWithGuard()
+  {
+    Feed(gpQueuesChanged{ MakeQueues() });
+    gpLinkOpened opened;
+    opened.link_ = kLink;
+    opened.peer_.role_ = gpRole::Guard;
+    opened.peer_.incarnation_ = kGuard;
+    Feed(opened);
+    gpTargetNews news;
+    news.service_ = kService;
+    news.dataCentre_ = gpDataCentreName("dc-1");
+    news.capacity_ = { 1000, 0, 0 };
+    news.takesWork_ = true;
+    Feed(gpMessageReceived{ kLink, news });
+    Feed(gpMessageReceived{ kLink, gpRoomReport{ { 1000, 0, 0 }, 0 } });
+  }
+
+  void Feed(decltype(gpLeaseEntryEvent::input_) aInput)
+  {
+    for (const auto& effect : entry_.Reduce({ now_, std::move(aInput) })) {
+      if (const auto* answer = std::get_if<gpAnswerLeaseJob>(&effect)) {
+        answers_[answer->request_] = answer->answer_;
+      }
+      stopped_ = stopped_ || std::holds_alternative<gpStop>(effect);
+    }
+  }
+
+  void Pass(gpMillis aTime)
+  {
+    now_ += aTime;
+    Feed(gpTimePassed{});
+  }
+
+  std::map<gpRequestId, gpLeaseAnswer> answers_;
+  bool stopped_ = false;
+
+private:
+  static gpLeaseEntryOptions Options()
+  {
+    gpLeaseEntryOptions options;
+    options.dataCentre_ = gpDataCentreName("dc-1");
+    options.firstRun_ = 1;
+    options.shutdown_ = kShutdown;
+    return options;
+  }
+
+  gpTime now_{ gpMillis(1000) };
+  gpLeaseEntryReducer entry_{ Options() };
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AtTheEndOfAShutdownAllJobsAreAnswered)
+{
+  EntryWithGuard entry;
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("first") });
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(2), MakeJob("second") });
+  entry.Feed(gpShutdownRequested{});
+  entry.Pass(kShutdown - gpMillis(1));
+  BOOST_TEST(entry.answers_.empty());
+  BOOST_TEST(!entry.stopped_);
+  entry.Pass(gpMillis(1));
+  BOOST_TEST(entry.stopped_);
+  BOOST_REQUIRE(entry.answers_.size() == 2U);
+  const gpLeaseAnswer& begun = entry.answers_.at(gpRequestId(1));
+  BOOST_TEST((begun.outcome_ == gpLeaseOutcome::Failed));
+  BOOST_TEST((begun.reason_ == gpLeaseReason::ShuttingDown));
+  const gpLeaseAnswer& waiting = entry.answers_.at(gpRequestId(2));
+  BOOST_TEST((waiting.outcome_ == gpLeaseOutcome::NotRun));
+  BOOST_TEST(waiting.retryAfter_.has_value());
+}
--- a/Tests/Soak/gpSoak.cxx
+++ b/Tests/Soak/gpSoak.cxx
@@ -204,6 +204,7 @@
   ++workers_[worker].kills_;
   cluster_.Worker(worker).Kill();
   workerKills_[worker].push_back(gpEventLoop::Now());
+  CloseDrains(worker);
 }
 
 void
@@ -329,14 +330,20 @@
 gpSoak::EndDrain(const gpSoakFault& aFault)
 {
   const std::size_t worker = GuardOf(aFault);
+  CloseDrains(worker);
+  if (cluster_.Worker(worker).IsRunning()) {
+    cluster_.Control(cluster_.Worker(worker), R"({"draining":false})");
+  }
+}
+
+void
+gpSoak::CloseDrains(std::size_t aWorker)
+{
   for (gpSoakSpan& drain : record_.drains_) {
-    if (drain.subject_ == worker) {
+    if (drain.subject_ == aWorker) {
       drain.to_ = std::min(drain.to_, gpEventLoop::Now());
     }
   }
-  if (cluster_.Worker(worker).IsRunning()) {
-    cluster_.Control(cluster_.Worker(worker), R"({"draining":false})");
-  }
 }
 
 void
--- a/Tests/Soak/gpSoak.h
+++ b/Tests/Soak/gpSoak.h
@@ -58,6 +58,8 @@
   void LoseStarts(const gpSoakFault& aFault);
   void DrainWorker(const gpSoakFault& aFault);
   void EndDrain(const gpSoakFault& aFault);
+  /// The worker says no more that it leaves; a new start of it never did.
+  void CloseDrains(std::size_t aWorker);
   void HarmStore(const gpSoakFault& aFault);
   void HealStore(const gpSoakFault& aFault);
   void ChangeConfiguration(const gpSoakFault& aFault);
--- a/Tests/Soak/testSoak.cxx
+++ b/Tests/Soak/testSoak.cxx
@@ -55,6 +55,9 @@
   // of a task at one time.
   RunSeed(8, 1);
   RunSeed(14, 1);
+  // Jobs that were left at the end of a graceful shutdown were cut instead of
+  // answered.
+  RunSeed(128, 1);
 }
 
 BOOST_AUTO_TEST_CASE(SeedsKeepThePromises)
