Lease: Let long tasks wait for a fast target at a margin of 1.4

By the entries' logs, jobs with estimates of 650 to 900 ms had a part of their tasks on slow targets (slowness 1.2 to 1.4), where they ran 1.4 s and more; the caller's patience is 1.5 s.

Change: a target counts as too slow for a task if the expected time is over 1/1.4 of the patience, instead of 1/1.2; the task waits for a faster one.

--- a/Source/Lease/gpTargetBoard.cxx
+++ b/Source/Lease/gpTargetBoard.cxx
@@ -21,7 +21,7 @@
 constexpr double kOtherDataCentreMs = 1.0;
 /// A task waits for a faster target if it's expected to take this part of the
 /// caller's patience.
-constexpr double kLostCauseMargin = 1.2;
+constexpr double kLostCauseMargin = 1.4;
 /// Tasks may take so many times their estimate, by its error and the error in
 /// what is known of the target.
 constexpr double kEstimateMargin = 1.5;
