--- a/Tests/Lease/testLeaseHistories.cxx
+++ b/Tests/Lease/testLeaseHistories.cxx
@@ -1,26 +1,18 @@
 #define BOOST_TEST_MODULE gpLeaseHistories
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
 #include <string>
 
 #include "gpLeaseHistory.h"
+#include "gpTestNumber.h"
 
 namespace {
 
-/// Reads a number that a longer run by hand may set; see docs/testing.md.
-std::uint64_t
-NumberFrom(const char* aVariable, std::uint64_t aDefault)
-{
-  const char* text = std::getenv(aVariable);
-  return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
-}
-
 void
 RunHistories(gpLeaseHistoryOptions aOptions, std::uint64_t aDefaultCount)
 {
-  const std::uint64_t first = NumberFrom("GP_HISTORY_SEED", 1);
-  const std::uint64_t count = NumberFrom("GP_HISTORY_COUNT", aDefaultCount);
+  const std::uint64_t first = gpTestNumber("GP_HISTORY_SEED", 1);
+  const std::uint64_t count = gpTestNumber("GP_HISTORY_COUNT", aDefaultCount);
   std::size_t starts = 0;
   std::size_t completed = 0;
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
--- a/Tests/Soak/testSoak.cxx
+++ b/Tests/Soak/testSoak.cxx
@@ -1,21 +1,13 @@
 #define BOOST_TEST_MODULE gpSoak
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
 #include <string>
 
 #include "gpSoak.h"
+#include "gpTestNumber.h"
 
 namespace {
 
-/// Reads a number that a longer run by hand may set; see docs/testing.md.
-std::uint64_t
-NumberFrom(const char* aVariable, std::uint64_t aDefault)
-{
-  const char* text = std::getenv(aVariable);
-  return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
-}
-
 std::string
 Describe(const gpSoakPlan& aPlan)
 {
@@ -62,9 +54,9 @@
 
 BOOST_AUTO_TEST_CASE(SeedsKeepThePromises)
 {
-  const std::uint64_t first = NumberFrom("GP_SOAK_SEED", 1);
-  const std::uint64_t count = NumberFrom("GP_SOAK_COUNT", 3);
-  const std::uint64_t scale = NumberFrom("GP_SOAK_SCALE", 1);
+  const std::uint64_t first = gpTestNumber("GP_SOAK_SEED", 1);
+  const std::uint64_t count = gpTestNumber("GP_SOAK_COUNT", 3);
+  const std::uint64_t scale = gpTestNumber("GP_SOAK_SCALE", 1);
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     RunSeed(seed, scale);
   }
--- a/Tests/StandIns/gpRunJournal.cxx
+++ b/Tests/StandIns/gpRunJournal.cxx
@@ -4,19 +4,6 @@
 
 #include "gpError.h"
 
-namespace {
-
-const char*
-EndName(gpRunEnd aEnd)
-{
-  if (aEnd == gpRunEnd::Done) {
-    return "done";
-  }
-  return aEnd == gpRunEnd::Failed ? "failed" : "stopped";
-}
-
-} // namespace
-
 absl::Status
 gpRunJournal::Open(const std::string& aFile)
 {
@@ -35,12 +22,12 @@
 gpRunJournal::NoteEnds(const std::vector<gpSimEnd>& aEnds)
 {
   for (const gpSimEnd& end : aEnds) {
-    Write(end.run_, EndName(end.end_), end.at_);
+    Write(end.run_, gpRunEndName(end.end_), end.at_);
   }
 }
 
 void
-gpRunJournal::Write(const gpRunId& aRun, const char* aEvent, gpTime aAt)
+gpRunJournal::Write(const gpRunId& aRun, std::string_view aEvent, gpTime aAt)
 {
   if (!file_.is_open()) {
     return;
--- a/Tests/StandIns/gpRunJournal.h
+++ b/Tests/StandIns/gpRunJournal.h
@@ -2,6 +2,7 @@
 
 #include <fstream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <absl/status/status.h>
@@ -24,7 +25,7 @@
   void NoteEnds(const std::vector<gpSimEnd>& aEnds);
 
 private:
-  void Write(const gpRunId& aRun, const char* aEvent, gpTime aAt);
+  void Write(const gpRunId& aRun, std::string_view aEvent, gpTime aAt);
 
   std::ofstream file_;
 };
--- a/Tests/StandIns/gpWorkerStandIn.cxx
+++ b/Tests/StandIns/gpWorkerStandIn.cxx
@@ -58,15 +58,6 @@
   }
 }
 
-const char*
-EndName(gpRunEnd aEnd)
-{
-  if (aEnd == gpRunEnd::Done) {
-    return "done";
-  }
-  return aEnd == gpRunEnd::Failed ? "failed" : "stopped";
-}
-
 } // namespace
 
 gpWorkerStandIn::gpWorkerStandIn(gpEventLoop& aLoop, gpTimerService& aTimers)
@@ -241,7 +232,7 @@
     finished.push_back({ end.position_,
                          end.run_.task_,
                          end.run_.number_,
-                         EndName(end.end_),
+                         gpRunEndName(end.end_),
                          "" });
   }
   gpHttpResponse response;
