--- a/Tests/Soak/gpSoakRecord.cxx
+++ b/Tests/Soak/gpSoakRecord.cxx
@@ -111,6 +111,22 @@
   }
 }
 
+/// A job that is said to be complete has an end of each task.
+void
+CheckComplete(const gpSoakAttempt& aAttempt,
+              const std::set<std::string>& aDone,
+              Complaints& aOut)
+{
+  for (std::size_t task = 0; task < aAttempt.tasks_; ++task) {
+    std::string id = aAttempt.job_;
+    id += ".0.0.";
+    id += std::to_string(task);
+    if (!aDone.contains(id)) {
+      aOut.push_back("complete without an end of " + id);
+    }
+  }
+}
+
 /// Answers say the truth.
 void
 CheckAnswers(const gpSoakRecord& aRecord, Complaints& aOut)
@@ -130,13 +146,8 @@
       if (attempt.outcome_ == gpSoakOutcome::Failed) {
         aOut.push_back(job + " was said to have failed, and no task did");
       }
-      for (std::size_t task = 0; attempt.outcome_ == gpSoakOutcome::Completed &&
-                                 task < attempt.tasks_;
-           ++task) {
-        const std::string id = job + ".0.0." + std::to_string(task);
-        if (!done.contains(id)) {
-          aOut.push_back(job + " is complete without an end of " + id);
-        }
+      if (attempt.outcome_ == gpSoakOutcome::Completed) {
+        CheckComplete(attempt, done, aOut);
       }
     }
     if (allNotRun && started.contains(job)) {
