--- a/Tests/StandIns/gpStandInLog.cxx
+++ b/Tests/StandIns/gpStandInLog.cxx
@@ -6,6 +6,7 @@
 #include "gpEventLoop.h"
 #include "gpLogControl.h"
 #include "gpLogStandIn.h"
+#include "gpServeStandIn.h"
 #include "gpStandInOptions.h"
 #include "gpTimerService.h"
 
@@ -23,17 +24,11 @@
         [&](const std::string& aBody) { return gpApplyLogCommand(log, aBody); },
       .show_ =
         [&](const std::string& /*aTarget*/) { return gpShowLog(log); } });
-  const absl::StatusOr<gpAddress> address = log.Listen(aOptions.listen_);
-  if (!address.ok()) {
-    return address.status();
-  }
-  gpPrintListening("service", *address);
-  if (absl::Status status = control.Listen(aOptions.control_); !status.ok()) {
-    return status;
-  }
-  loop.OnTerminate([&] { loop.Stop(); });
-  loop.Run();
-  return absl::OkStatus();
+  return gpServeStandIn(
+    loop,
+    aOptions,
+    [&](const gpAddress& aAddress) { return log.Listen(aAddress); },
+    control);
 }
 
 } // namespace
--- a/Tests/StandIns/gpStandInProxy.cxx
+++ b/Tests/StandIns/gpStandInProxy.cxx
@@ -8,6 +8,7 @@
 #include "gpEventLoop.h"
 #include "gpFaultProxy.h"
 #include "gpProxyControl.h"
+#include "gpServeStandIn.h"
 #include "gpStandInOptions.h"
 #include "gpTimerService.h"
 
@@ -30,17 +31,11 @@
   if (absl::Status status = proxy.SetServer(aServer); !status.ok()) {
     return status;
   }
-  const absl::StatusOr<gpAddress> address = proxy.Listen(aOptions.listen_);
-  if (!address.ok()) {
-    return address.status();
-  }
-  gpPrintListening("service", *address);
-  if (absl::Status status = control.Listen(aOptions.control_); !status.ok()) {
-    return status;
-  }
-  loop.OnTerminate([&] { loop.Stop(); });
-  loop.Run();
-  return absl::OkStatus();
+  return gpServeStandIn(
+    loop,
+    aOptions,
+    [&](const gpAddress& aAddress) { return proxy.Listen(aAddress); },
+    control);
 }
 
 } // namespace
--- a/Tests/StandIns/gpStandInStore.cxx
+++ b/Tests/StandIns/gpStandInStore.cxx
@@ -7,6 +7,7 @@
 #include "gpControlFields.h"
 #include "gpControlServer.h"
 #include "gpEventLoop.h"
+#include "gpServeStandIn.h"
 #include "gpStandInOptions.h"
 #include "gpStoreStandIn.h"
 #include "gpTimerService.h"
@@ -65,17 +66,11 @@
         [&](const std::string& /*aTarget*/) {
           return R"({"calls":)" + std::to_string(store.CountCalls()) + "}";
         } });
-  const absl::StatusOr<gpAddress> address = store.Listen(aOptions.listen_);
-  if (!address.ok()) {
-    return address.status();
-  }
-  gpPrintListening("service", *address);
-  if (absl::Status status = control.Listen(aOptions.control_); !status.ok()) {
-    return status;
-  }
-  loop.OnTerminate([&] { loop.Stop(); });
-  loop.Run();
-  return absl::OkStatus();
+  return gpServeStandIn(
+    loop,
+    aOptions,
+    [&](const gpAddress& aAddress) { return store.Listen(aAddress); },
+    control);
 }
 
 } // namespace
--- a/Tests/StandIns/gpStandInTarget.cxx
+++ b/Tests/StandIns/gpStandInTarget.cxx
@@ -9,6 +9,7 @@
 
 #include "gpControlServer.h"
 #include "gpEventLoop.h"
+#include "gpServeStandIn.h"
 #include "gpStandInOptions.h"
 #include "gpTargetAnnouncer.h"
 #include "gpTargetControl.h"
@@ -99,14 +100,13 @@
     }
   }
   target.SetBehaviour({ .speed_ = aOptions.speed_ });
-  const absl::StatusOr<gpAddress> address = target.Listen(aShared.listen_);
+  const auto address = gpOpenStandIn(
+    aShared,
+    [&](const gpAddress& aAddress) { return target.Listen(aAddress); },
+    control);
   if (!address.ok()) {
     return address.status();
   }
-  gpPrintListening("service", *address);
-  if (absl::Status status = control.Listen(aShared.control_); !status.ok()) {
-    return status;
-  }
   Serve(loop, timers, target, aOptions, *address);
   return absl::OkStatus();
 }
--- a/Tests/StandIns/gpStandInWorker.cxx
+++ b/Tests/StandIns/gpStandInWorker.cxx
@@ -8,6 +8,7 @@
 #include "gpControlFields.h"
 #include "gpControlServer.h"
 #include "gpEventLoop.h"
+#include "gpServeStandIn.h"
 #include "gpStandInOptions.h"
 #include "gpTimerService.h"
 #include "gpWorkerStandIn.h"
@@ -54,17 +55,11 @@
       return status;
     }
   }
-  const absl::StatusOr<gpAddress> address = worker.Listen(aOptions.listen_);
-  if (!address.ok()) {
-    return address.status();
-  }
-  gpPrintListening("service", *address);
-  if (absl::Status status = control.Listen(aOptions.control_); !status.ok()) {
-    return status;
-  }
-  loop.OnTerminate([&] { loop.Stop(); });
-  loop.Run();
-  return absl::OkStatus();
+  return gpServeStandIn(
+    loop,
+    aOptions,
+    [&](const gpAddress& aAddress) { return worker.Listen(aAddress); },
+    control);
 }
 
 } // namespace
