--- a/Source/Configuration/gpJsonReader.cxx
+++ b/Source/Configuration/gpJsonReader.cxx
@@ -6,6 +6,7 @@
 #include <boost/json/basic_parser_impl.hpp>
 
 #include "gpAddressText.h"
+#include "gpJsonNumber.h"
 
 namespace {
 
@@ -172,18 +173,6 @@
          std::to_string(aRange.max_);
 }
 
-std::optional<std::uint64_t>
-ToUnsigned(const json::value& aValue)
-{
-  if (aValue.is_uint64()) {
-    return aValue.get_uint64();
-  }
-  if (aValue.is_int64() && aValue.get_int64() >= 0) {
-    return static_cast<std::uint64_t>(aValue.get_int64());
-  }
-  return std::nullopt;
-}
-
 } // namespace
 
 const gpTextRule kNameRule = {
@@ -288,7 +277,7 @@
     AddMissing(aKey, RangeText(aRange), aPresence);
     return std::nullopt;
   }
-  const auto number = ToUnsigned(*value);
+  const auto number = gpToUnsigned(*value);
   if (!number || *number < aRange.min_ || *number > aRange.max_) {
     AddError(aKey, RangeText(aRange));
     return std::nullopt;
@@ -386,7 +375,7 @@
     return numbers;
   }
   for (const json::value& value : *list) {
-    const auto number = ToUnsigned(value);
+    const auto number = gpToUnsigned(value);
     if (!number || *number < aRange.min_ || *number > aRange.max_) {
       AddError(aKey, "a list of " + RangeText(aRange));
       break;
