Lease: Word the lines, find a guard's tasks and keep strangers apart

The texts of the time line go to gpLeaseLines, the search for the tasks at a lost guard, written twice, to gpLeaseJobTable, and the runs that a guard hasn't started to gpStrangerRuns.

--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -6,7 +6,6 @@
 
 #include "gpLeaseLines.h"
 #include "gpLeaseOverdue.h"
-#include "gpScaled.h"
 
 namespace {
 
@@ -19,13 +18,6 @@
 /// Within the time for a shutdown, this last part takes no new jobs.
 constexpr gpMillis kLastJobsTime{ 1600 };
 
-std::string
-MillisText(gpMicros aTime)
-{
-  return std::to_string(std::chrono::duration_cast<gpMillis>(aTime).count()) +
-         " ms";
-}
-
 } // namespace
 
 gpLeaseEntryReducer::gpLeaseEntryReducer(gpLeaseEntryOptions aOptions)
@@ -88,8 +80,7 @@
   out_.Write(gpJobLine(gpEventKind::JobAnswered,
                        gpServiceName(),
                        aEvent.job_.id_,
-                       gpLeaseOutcomeName(aAnswer.outcome_) + " " +
-                         gpLeaseReasonName(aAnswer.reason_) + " version " +
+                       gpAnswerText(aAnswer) + " version " +
                          std::to_string(queues_.version_.value_)));
   out_.Add(gpAnswerLeaseJob{ aEvent.request_, aAnswer });
 }
@@ -127,12 +118,7 @@
   const gpLeaseRecord& job = jobs_.Add(std::move(record));
   WriteJob(gpEventKind::JobAdmitted,
            job,
-           "queue " + queue->name_.value_ + " version " +
-             std::to_string(queues_.version_.value_) + " tasks " +
-             std::to_string(job.tasks_.size()) + " estimate " +
-             MillisText(job.GetChain()) + " patience " +
-             MillisText(job.deadline_ - now_) + " wait " +
-             std::to_string(wait.count()) + " ms");
+           gpAdmittedText(job, queues_.version_, wait, now_));
 }
 
 void
@@ -217,15 +203,12 @@
 gpLeaseEntryReducer::LoseGuard(gpIncarnation aGuard)
 {
   board_.OnLost(aGuard);
-  for (auto& [sequence, job] : jobs_.GetAll()) {
-    for (std::size_t index = 0; index < job.tasks_.size(); ++index) {
-      gpLeaseTask& task = job.tasks_[index];
-      if (task.phase_ == gpLeaseTaskPhase::Sent && task.guard_ == aGuard) {
-        task.lostAt_ = now_;
-        jobs_.TakeBack(job, index, gpLeaseTaskPhase::Lost);
-        WriteRun(gpEventKind::TaskInDoubt, job, task.run_, aGuard, "link lost");
-      }
-    }
+  for (const auto& [job, index] :
+       jobs_.ListAt(aGuard, gpLeaseTaskPhase::Sent)) {
+    gpLeaseTask& task = job->tasks_[index];
+    task.lostAt_ = now_;
+    jobs_.TakeBack(*job, index, gpLeaseTaskPhase::Lost);
+    WriteRun(gpEventKind::TaskInDoubt, *job, task.run_, aGuard, "link lost");
   }
 }
 
@@ -313,13 +296,10 @@
     return;
   }
   const std::set<gpRunId> held(aMessage.runs_.begin(), aMessage.runs_.end());
-  for (auto& [sequence, job] : jobs_.GetAll()) {
-    for (std::size_t index = 0; index < job.tasks_.size(); ++index) {
-      const gpLeaseTask& task = job.tasks_[index];
-      if (task.phase_ == gpLeaseTaskPhase::Lost &&
-          task.guard_ == guard->second && !held.contains(task.run_)) {
-        OnTaskBack(job, index, gpRunEnd::Stopped);
-      }
+  for (const auto& [job, index] :
+       jobs_.ListAt(guard->second, gpLeaseTaskPhase::Lost)) {
+    if (!held.contains(job->tasks_[index].run_)) {
+      OnTaskBack(*job, index, gpRunEnd::Stopped);
     }
   }
 }
@@ -368,13 +348,10 @@
 void
 gpLeaseEntryReducer::EndJob(gpLeaseRecord& aJob, const gpLeaseAnswer& aAnswer)
 {
-  const auto took =
-    std::chrono::duration_cast<gpMillis>(now_ - aJob.arrivedAt_);
   WriteJob(gpEventKind::JobAnswered,
            aJob,
-           gpLeaseOutcomeName(aAnswer.outcome_) + " " +
-             gpLeaseReasonName(aAnswer.reason_) + " after " +
-             std::to_string(took.count()) + " ms");
+           gpAnswerText(aAnswer) + " after " +
+             gpMillisText(now_ - aJob.arrivedAt_));
   out_.Add(gpAnswerLeaseJob{ aJob.request_, aAnswer });
   StopRuns(aJob);
   jobs_.Remove(aJob.sequence_);
@@ -492,13 +469,7 @@
   const gpTargetView& view = *board_.Find(aGuard);
   orders_.Add(view.link_, aJob.job_, task.step_, task.run_);
   WriteRun(
-    gpEventKind::TaskSent,
-    aJob,
-    task.run_,
-    aGuard,
-    "free " + std::to_string(view.GetFree().milliCores_) + " mcores as of " +
-      MillisText(now_ - view.reportedAt_) + " ago, slowness " +
-      std::to_string(gpScaled(gpMillis(100), view.slowness_).count()) + " %");
+    gpEventKind::TaskSent, aJob, task.run_, aGuard, gpTargetText(view, now_));
 }
 
 void
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -61,9 +61,8 @@
     return;
   }
   WriteTarget(gpEventKind::BadInput,
-              "not scheduled for " +
-                std::to_string((now_ - last).count() / 1000) +
-                " ms, closing links");
+              "not scheduled for " + gpMillisText(now_ - last) +
+                ", closing links");
   for (const gpLinkId link : links_.CloseAll()) {
     out_.Add(gpCloseLink{ link });
     finder_.OnLost(link, now_);
@@ -77,7 +76,7 @@
 gpLeaseGuardReducer::TakesWork() const
 {
   return target_.IsKnown() && target_.IsConfirmed() && looks_.HasAnswer() &&
-         strangers_.empty() && !target_.IsLeaving() &&
+         strangers_.IsEmpty() && !target_.IsLeaving() &&
          !target_.IsSilent(now_) && shutdownEnd_ == gpTime::max();
 }
 
@@ -245,7 +244,7 @@
 void
 gpLeaseGuardReducer::FinishAll()
 {
-  strangers_.clear();
+  strangers_.Clear();
   stops_.Clear();
   std::vector<gpRunId> all;
   for (const auto& [id, run] : runs_.GetAll()) {
@@ -396,21 +395,13 @@
     }
   }
   FinishOver(aEvent.sentAt_, aEvent.running_);
-  const std::set<gpRunId> before = std::exchange(strangers_, {});
-  for (const gpRunId& id : aEvent.running_) {
-    if (runs_.Find(id) != nullptr) {
-      continue;
-    }
-    strangers_.insert(id);
-    if (!before.contains(id)) {
-      WriteRun(gpEventKind::TaskCancelled, id, "not started by this guard");
-      SendStop(id);
-    }
+  const auto strangers = strangers_.Show(aEvent.running_, runs_);
+  for (const gpRunId& id : strangers.appeared_) {
+    WriteRun(gpEventKind::TaskCancelled, id, "not started by this guard");
+    SendStop(id);
   }
-  for (const gpRunId& id : before) {
-    if (!strangers_.contains(id)) {
-      stops_.Forget(id);
-    }
+  for (const gpRunId& id : strangers.gone_) {
+    stops_.Forget(id);
   }
 }
 
@@ -449,7 +440,7 @@
     look.leaseEnd_ = target_.ExtendLease(now_);
     look.wait_ = kLookWait;
   }
-  if (!looks_.HasAnswer() || looks_.HasFailed() || !strangers_.empty()) {
+  if (!looks_.HasAnswer() || looks_.HasFailed() || !strangers_.IsEmpty()) {
     look.wait_ = gpMillis(0);
   }
   out_.Add(std::move(look));
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <set>
 #include <vector>
 
 #include "gpEntryFinder.h"
@@ -10,6 +9,7 @@
 #include "gpLookSchedule.h"
 #include "gpPendingStops.h"
 #include "gpRunTable.h"
+#include "gpStrangerRuns.h"
 #include "gpTargetSession.h"
 
 /** \class gpLeaseGuardOptions
@@ -109,8 +109,7 @@
   gpEntryLinks links_;
   gpTargetSession target_;
   gpRunTable runs_;
-  /// Runs that the target shows but this incarnation hasn't started.
-  std::set<gpRunId> strangers_;
+  gpStrangerRuns strangers_;
   gpPendingStops stops_;
   gpLookSchedule looks_;
   std::uint64_t seenEnds_ = 0;
--- a/Source/Lease/gpLeaseJobTable.cxx
+++ b/Source/Lease/gpLeaseJobTable.cxx
@@ -109,6 +109,21 @@
   return { Find(found->second.first), found->second.second };
 }
 
+std::vector<std::pair<gpLeaseRecord*, std::size_t>>
+gpLeaseJobTable::ListAt(gpIncarnation aGuard, gpLeaseTaskPhase aPhase)
+{
+  std::vector<std::pair<gpLeaseRecord*, std::size_t>> list;
+  for (auto& [sequence, job] : jobs_) {
+    for (std::size_t index = 0; index < job.tasks_.size(); ++index) {
+      const gpLeaseTask& task = job.tasks_[index];
+      if (task.phase_ == aPhase && task.guard_ == aGuard) {
+        list.emplace_back(&job, index);
+      }
+    }
+  }
+  return list;
+}
+
 void
 gpLeaseJobTable::Wait(gpLeaseRecord& aJob, std::size_t aTask)
 {
--- a/Source/Lease/gpLeaseJobTable.h
+++ b/Source/Lease/gpLeaseJobTable.h
@@ -106,6 +106,10 @@
   bool HasId(const std::string& aId) const { return byId_.contains(aId); }
   /// The job and task of a run that is under way; null if it's none.
   std::pair<gpLeaseRecord*, std::size_t> FindRun(const gpRunId& aRun);
+  /// The jobs and tasks in this phase whose run was ordered at the guard.
+  std::vector<std::pair<gpLeaseRecord*, std::size_t>> ListAt(
+    gpIncarnation aGuard,
+    gpLeaseTaskPhase aPhase);
 
   void Wait(gpLeaseRecord& aJob, std::size_t aTask);
   void Send(gpLeaseRecord& aJob,
--- a/Source/Lease/gpLeaseLines.cxx
+++ b/Source/Lease/gpLeaseLines.cxx
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "gpScaled.h"
+
 gpTimelineEvent
 gpJobLine(gpEventKind aKind,
           const gpServiceName& aService,
@@ -33,3 +35,39 @@
   line.detail_ = std::move(aDetail);
   return line;
 }
+
+std::string
+gpMillisText(gpMicros aTime)
+{
+  return std::to_string(std::chrono::duration_cast<gpMillis>(aTime).count()) +
+         " ms";
+}
+
+std::string
+gpAdmittedText(const gpLeaseRecord& aJob,
+               gpConfigVersion aVersion,
+               gpMillis aWait,
+               gpTime aNow)
+{
+  return "queue " + aJob.queue_.name_.value_ + " version " +
+         std::to_string(aVersion.value_) + " tasks " +
+         std::to_string(aJob.tasks_.size()) + " estimate " +
+         gpMillisText(aJob.GetChain()) + " patience " +
+         gpMillisText(aJob.deadline_ - aNow) + " wait " + gpMillisText(aWait);
+}
+
+std::string
+gpAnswerText(const gpLeaseAnswer& aAnswer)
+{
+  return gpLeaseOutcomeName(aAnswer.outcome_) + " " +
+         gpLeaseReasonName(aAnswer.reason_);
+}
+
+std::string
+gpTargetText(const gpTargetView& aTarget, gpTime aNow)
+{
+  const auto slowness = gpScaled(gpMillis(100), aTarget.slowness_);
+  return "free " + std::to_string(aTarget.GetFree().milliCores_) +
+         " mcores as of " + gpMillisText(aNow - aTarget.reportedAt_) +
+         " ago, slowness " + std::to_string(slowness.count()) + " %";
+}
--- a/Source/Lease/gpLeaseLines.h
+++ b/Source/Lease/gpLeaseLines.h
@@ -3,7 +3,9 @@
 #include <string>
 
 #include "gpIds.h"
+#include "gpLeaseJobTable.h"
 #include "gpRunMessages.h"
+#include "gpTargetBoard.h"
 #include "gpTimelineEvent.h"
 
 /** \brief Lines of the time line about best-effort jobs and their runs. */
@@ -25,3 +27,20 @@
 /// A line about the process, its target or its configuration.
 gpTimelineEvent
 gpPlainLine(gpEventKind aKind, std::string aDetail);
+
+/// A time in whole milliseconds, such as "12 ms".
+std::string
+gpMillisText(gpMicros aTime);
+/// What a job was taken in with: its size, the caller's patience and the
+/// predicted wait.
+std::string
+gpAdmittedText(const gpLeaseRecord& aJob,
+               gpConfigVersion aVersion,
+               gpMillis aWait,
+               gpTime aNow);
+/// Outcome and reason.
+std::string
+gpAnswerText(const gpLeaseAnswer& aAnswer);
+/// What was known of a target when a run was sent there.
+std::string
+gpTargetText(const gpTargetView& aTarget, gpTime aNow);
