--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -128,24 +128,36 @@
   });
 }
 
+std::uint64_t
+gpLeaseHistory::WallClockMs() const
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<gpMillis>(now_.time_since_epoch()).count());
+}
+
+void
+gpLeaseHistory::Begin(Process& aProcess, std::size_t aIndex, gpRole aRole)
+{
+  aProcess.index_ = aIndex;
+  ++aProcess.life_;
+  aProcess.alive_ = true;
+  aProcess.peer_.role_ = aRole;
+  aProcess.peer_.incarnation_ = gpIncarnation(++lastIncarnation_);
+  aProcess.wakeAt_ = gpTime{};
+}
+
 void
 gpLeaseHistory::StartEntry(std::size_t aIndex)
 {
   Process& process = entries_[aIndex];
-  process.index_ = aIndex;
-  ++process.life_;
-  process.alive_ = true;
-  process.peer_.role_ = gpRole::Entry;
-  process.peer_.incarnation_ = gpIncarnation(++lastIncarnation_);
+  Begin(process, aIndex, gpRole::Entry);
   process.peer_.address_ = gpAddress("entry-" + std::to_string(aIndex));
   gpLeaseEntryOptions options;
   options.address_ = process.peer_.address_;
   options.dataCentre_ = gpDataCentreName("a");
-  options.firstRun_ = static_cast<std::uint64_t>(
-    std::chrono::duration_cast<gpMillis>(now_.time_since_epoch()).count());
+  options.firstRun_ = WallClockMs();
   options.shutdown_ = gpMillis(5000);
   process.entry_ = std::make_unique<gpLeaseEntryReducer>(options);
-  process.wakeAt_ = gpTime{};
   GiveEntry(aIndex, gpQueuesChanged{ MakeQueues() });
   for (std::size_t guard = 0; guard < guards_.size(); ++guard) {
     At(now_ + gpMillis(Draw(100)),
@@ -157,19 +169,13 @@
 gpLeaseHistory::StartGuard(std::size_t aIndex)
 {
   Process& process = guards_[aIndex];
-  process.index_ = aIndex;
-  ++process.life_;
-  process.alive_ = true;
-  process.peer_.role_ = gpRole::Guard;
-  process.peer_.incarnation_ = gpIncarnation(++lastIncarnation_);
+  Begin(process, aIndex, gpRole::Guard);
   gpLeaseGuardOptions options;
   options.service_ = gpServiceName(kService);
   options.dataCentre_ = gpDataCentreName("a");
-  options.fence_ = static_cast<std::uint64_t>(
-    std::chrono::duration_cast<gpMillis>(now_.time_since_epoch()).count());
+  options.fence_ = WallClockMs();
   options.shutdown_ = gpMillis(5000);
   process.guard_ = std::make_unique<gpLeaseGuardReducer>(options);
-  process.wakeAt_ = gpTime{};
   GiveGuard(aIndex, gpTimePassed{});
   for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
     At(now_ + gpMillis(Draw(100)),
@@ -181,8 +187,7 @@
 gpLeaseHistory::StartTarget(std::size_t aGuard)
 {
   const double rate = Chance(300) ? 0.98 : 1.0;
-  const auto born = static_cast<std::uint64_t>(
-    std::chrono::duration_cast<gpMillis>(now_.time_since_epoch()).count());
+  const std::uint64_t born = WallClockMs();
   targets_[aGuard] = std::make_unique<gpSimTarget>(
     "i-" + std::to_string(aGuard), born, rate, now_);
   sequences_[aGuard] = 0;
--- a/Tests/Lease/gpLeaseHistory.h
+++ b/Tests/Lease/gpLeaseHistory.h
@@ -99,6 +99,9 @@
                  gpTime aWhen,
                  const std::function<void()>& aEvent);
 
+  std::uint64_t WallClockMs() const;
+  /// A process begins a new life.
+  void Begin(Process& aProcess, std::size_t aIndex, gpRole aRole);
   void StartEntry(std::size_t aIndex);
   void StartGuard(std::size_t aIndex);
   void StartTarget(std::size_t aGuard);
--- a/Tests/Soak/gpSoak.cxx
+++ b/Tests/Soak/gpSoak.cxx
@@ -18,11 +18,14 @@
 constexpr gpMillis kAftermath{ 1000 };
 /// A worker that leaves does so for longer than the bound that is judged.
 constexpr gpMillis kDrainTime{ 3500 };
+/// One start is lost, and one more for each such part of a fault's length.
+constexpr gpMillis kLostStartEach{ 500 };
 /// Delays of a proxy are this part of a fault's length, up to 300 ms.
 constexpr int kDelayPart = 8;
 
+/// The command to a stand-in that causes the fault.
 std::string
-ProxyMode(const gpSoakFault& aFault)
+HarmCommand(const gpSoakFault& aFault)
 {
   switch (aFault.kind_) {
     case gpSoakFaultKind::DelayLinks:
@@ -37,13 +40,15 @@
       return aFault.length_.count() % 2 == 0
                ? R"({"mode":"hold","direction":"to_server"})"
                : R"({"mode":"hold","direction":"to_client"})";
+    case gpSoakFaultKind::SilentStore:
+      return R"({"mode":"hang"})";
+    case gpSoakFaultKind::TrimmedStore:
+      return R"({"trim":"keyed.op"})";
     default:
       return R"({"mode":"refuse"})";
   }
 }
 
-constexpr const char* kPass = R"({"mode":"pass"})";
-
 } // namespace
 
 gpSoak::gpSoak(gpSoakPlan aPlan)
@@ -68,19 +73,19 @@
     { Kind::TermEntry, { &gpSoak::TermEntry, &gpSoak::Nothing } },
     { Kind::FreezeEntry, { &gpSoak::FreezeEntry, &gpSoak::ThawEntry } },
     { Kind::FreezeGuard, { &gpSoak::FreezeGuard, &gpSoak::ThawGuard } },
-    { Kind::DelayLinks, { &gpSoak::HarmLinks, &gpSoak::HealLinks } },
-    { Kind::ResetLinks, { &gpSoak::HarmLinks, &gpSoak::HealLinks } },
-    { Kind::SilenceLinks, { &gpSoak::HarmLinks, &gpSoak::HealLinks } },
-    { Kind::OneWayLinks, { &gpSoak::HarmLinks, &gpSoak::HealLinks } },
-    { Kind::DelayWorker, { &gpSoak::HarmWorker, &gpSoak::HealWorker } },
-    { Kind::ResetWorker, { &gpSoak::HarmWorker, &gpSoak::HealWorker } },
-    { Kind::SilenceWorker, { &gpSoak::HarmWorker, &gpSoak::HealWorker } },
+    { Kind::DelayLinks, { &gpSoak::Harm, &gpSoak::Heal } },
+    { Kind::ResetLinks, { &gpSoak::Harm, &gpSoak::Heal } },
+    { Kind::SilenceLinks, { &gpSoak::Harm, &gpSoak::Heal } },
+    { Kind::OneWayLinks, { &gpSoak::Harm, &gpSoak::Heal } },
+    { Kind::DelayWorker, { &gpSoak::Harm, &gpSoak::Heal } },
+    { Kind::ResetWorker, { &gpSoak::Harm, &gpSoak::Heal } },
+    { Kind::SilenceWorker, { &gpSoak::Harm, &gpSoak::Heal } },
     { Kind::LoseStarts, { &gpSoak::LoseStarts, &gpSoak::Nothing } },
     { Kind::DrainWorker, { &gpSoak::DrainWorker, &gpSoak::EndDrain } },
-    { Kind::RefusingStore, { &gpSoak::HarmStore, &gpSoak::HealStore } },
-    { Kind::SilentStore, { &gpSoak::HarmStore, &gpSoak::HealStore } },
-    { Kind::ResetStore, { &gpSoak::HarmStore, &gpSoak::HealStore } },
-    { Kind::TrimmedStore, { &gpSoak::HarmStore, &gpSoak::Nothing } },
+    { Kind::RefusingStore, { &gpSoak::Harm, &gpSoak::Heal } },
+    { Kind::SilentStore, { &gpSoak::Harm, &gpSoak::Heal } },
+    { Kind::ResetStore, { &gpSoak::Harm, &gpSoak::Heal } },
+    { Kind::TrimmedStore, { &gpSoak::Harm, &gpSoak::Nothing } },
     { Kind::Configuration, { &gpSoak::ChangeConfiguration, &gpSoak::Nothing } },
   };
   return table.at(aKind);
@@ -281,28 +286,39 @@
   }
 }
 
-void
-gpSoak::HarmLinks(const gpSoakFault& aFault)
-{
-  cluster_.Control(cluster_.EntryProxy(EntryOf(aFault)), ProxyMode(aFault));
-}
-
-void
-gpSoak::HealLinks(const gpSoakFault& aFault)
+gpTestProcess&
+gpSoak::StandInOf(const gpSoakFault& aFault)
 {
-  cluster_.Control(cluster_.EntryProxy(EntryOf(aFault)), kPass);
+  switch (aFault.kind_) {
+    case gpSoakFaultKind::DelayLinks:
+    case gpSoakFaultKind::ResetLinks:
+    case gpSoakFaultKind::SilenceLinks:
+    case gpSoakFaultKind::OneWayLinks:
+      return cluster_.EntryProxy(EntryOf(aFault));
+    case gpSoakFaultKind::DelayWorker:
+    case gpSoakFaultKind::ResetWorker:
+    case gpSoakFaultKind::SilenceWorker:
+      return cluster_.WorkerProxy(GuardOf(aFault));
+    case gpSoakFaultKind::ResetStore:
+      return cluster_.StoreProxy();
+    default:
+      return cluster_.Store();
+  }
 }
 
 void
-gpSoak::HarmWorker(const gpSoakFault& aFault)
+gpSoak::Harm(const gpSoakFault& aFault)
 {
-  cluster_.Control(cluster_.WorkerProxy(GuardOf(aFault)), ProxyMode(aFault));
+  cluster_.Control(StandInOf(aFault), HarmCommand(aFault));
 }
 
 void
-gpSoak::HealWorker(const gpSoakFault& aFault)
+gpSoak::Heal(const gpSoakFault& aFault)
 {
-  cluster_.Control(cluster_.WorkerProxy(GuardOf(aFault)), kPass);
+  const bool isStore = aFault.kind_ == gpSoakFaultKind::RefusingStore ||
+                       aFault.kind_ == gpSoakFaultKind::SilentStore;
+  cluster_.Control(StandInOf(aFault),
+                   isStore ? R"({"mode":"serve"})" : R"({"mode":"pass"})");
 }
 
 void
@@ -310,7 +326,7 @@
 {
   const std::size_t worker = GuardOf(aFault);
   if (cluster_.Worker(worker).IsRunning()) {
-    const auto starts = 1 + aFault.length_.count() / 500;
+    const auto starts = 1 + aFault.length_ / kLostStartEach;
     cluster_.Control(cluster_.Worker(worker),
                      R"({"lose_starts":)" + std::to_string(starts) + "}");
   }
@@ -346,35 +362,6 @@
   }
 }
 
-void
-gpSoak::HarmStore(const gpSoakFault& aFault)
-{
-  switch (aFault.kind_) {
-    case gpSoakFaultKind::RefusingStore:
-      cluster_.Control(cluster_.Store(), R"({"mode":"refuse"})");
-      return;
-    case gpSoakFaultKind::SilentStore:
-      cluster_.Control(cluster_.Store(), R"({"mode":"hang"})");
-      return;
-    case gpSoakFaultKind::TrimmedStore:
-      cluster_.Control(cluster_.Store(), R"({"trim":"keyed.op"})");
-      return;
-    default:
-      cluster_.Control(cluster_.StoreProxy(), R"({"mode":"refuse"})");
-      return;
-  }
-}
-
-void
-gpSoak::HealStore(const gpSoakFault& aFault)
-{
-  if (aFault.kind_ == gpSoakFaultKind::ResetStore) {
-    cluster_.Control(cluster_.StoreProxy(), kPass);
-  } else {
-    cluster_.Control(cluster_.Store(), R"({"mode":"serve"})");
-  }
-}
-
 void
 gpSoak::ChangeConfiguration(const gpSoakFault& /*aFault*/)
 {
--- a/Tests/Soak/gpSoak.h
+++ b/Tests/Soak/gpSoak.h
@@ -51,17 +51,15 @@
   void ThawEntry(const gpSoakFault& aFault);
   void FreezeGuard(const gpSoakFault& aFault);
   void ThawGuard(const gpSoakFault& aFault);
-  void HarmLinks(const gpSoakFault& aFault);
-  void HealLinks(const gpSoakFault& aFault);
-  void HarmWorker(const gpSoakFault& aFault);
-  void HealWorker(const gpSoakFault& aFault);
+  /// The stand-in that causes the fault: a proxy, or the store.
+  gpTestProcess& StandInOf(const gpSoakFault& aFault);
+  void Harm(const gpSoakFault& aFault);
+  void Heal(const gpSoakFault& aFault);
   void LoseStarts(const gpSoakFault& aFault);
   void DrainWorker(const gpSoakFault& aFault);
   void EndDrain(const gpSoakFault& aFault);
   /// The worker says no more that it leaves; a new start of it never did.
   void CloseDrains(std::size_t aWorker);
-  void HarmStore(const gpSoakFault& aFault);
-  void HealStore(const gpSoakFault& aFault);
   void ChangeConfiguration(const gpSoakFault& aFault);
   void Nothing(const gpSoakFault& aFault);
 
