--- a/Source/Configuration/gpJsonReader.cxx
+++ b/Source/Configuration/gpJsonReader.cxx
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <sstream>
 
 #include <boost/json/basic_parser_impl.hpp>
 
@@ -285,6 +286,24 @@
   return number;
 }
 
+void
+gpJsonObject::Decimal(std::string_view aKey, double& aTarget, double aMost)
+{
+  const json::value* value = Find(aKey);
+  if (value == nullptr) {
+    return;
+  }
+  boost::system::error_code error;
+  const auto number = value->to_number<double>(error);
+  if (error || !(number >= 0 && number <= aMost)) {
+    std::ostringstream expected;
+    expected << "a number from 0 to " << aMost;
+    AddError(aKey, expected.str());
+    return;
+  }
+  aTarget = number;
+}
+
 void
 gpJsonObject::Millis(std::string_view aKey,
                      gpMillis& aTarget,
--- a/Source/Configuration/gpJsonReader.h
+++ b/Source/Configuration/gpJsonReader.h
@@ -135,6 +135,8 @@
   {
     Number(aKey, aTarget.value_, {}, aPresence);
   }
+  /// A number from 0 to aMost that may have decimals.
+  void Decimal(std::string_view aKey, double& aTarget, double aMost);
   void Millis(std::string_view aKey, gpMillis& aTarget, gpNumberRange aRange);
   void Flag(std::string_view aKey, bool& aTarget);
 
--- a/Source/Configuration/gpLeaseSettingsFile.cxx
+++ b/Source/Configuration/gpLeaseSettingsFile.cxx
@@ -1,5 +1,7 @@
 #include "gpLeaseSettingsFile.h"
 
+#include <cmath>
+
 #include "gpJsonReader.h"
 
 namespace {
@@ -7,6 +9,8 @@
 constexpr auto kRequired = gpPresence::Required;
 constexpr gpNumberRange kGraceMs = { 100, 3600000 };
 constexpr gpNumberRange kPort = { 1, 65535 };
+constexpr double kMostCores = 1024;
+constexpr double kMilliCoresPerCore = 1000;
 
 template<typename Target>
 void
@@ -42,6 +46,12 @@
 {
   ReadAddress(
     aRoot.Object("callers"), "listen", kListenRule, aSettings.callersListen_);
+  gpJsonObject processor = aRoot.Object("processor");
+  double cores = 0;
+  processor.Decimal("cores", cores, kMostCores);
+  processor.Finish();
+  aSettings.milliCores_ =
+    static_cast<std::uint32_t>(std::lround(cores * kMilliCoresPerCore));
 }
 
 void
--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "gpEntryRecord.h"
+
 namespace {
 
 constexpr gpMillis kRegisterAgain{ 500 };
@@ -64,8 +66,7 @@
     return status;
   }
   gpLeaseEntryOptions options;
-  options.address_ = GetSelf().address_;
-  options.dataCentre_ = settings_.site_.dataCentre_;
+  options.self_ = MakeSelf();
   options.firstRun_ = FirstNumber();
   options.shutdown_ = GetShutdownTime();
   reducer_ = std::make_unique<gpLeaseEntryReducer>(std::move(options));
@@ -82,6 +83,14 @@
   return status;
 }
 
+gpKnownEntry
+gpLeaseEntryProcess::MakeSelf() const
+{
+  return { GetSelf().address_,
+           settings_.site_.dataCentre_,
+           settings_.milliCores_ };
+}
+
 void
 gpLeaseEntryProcess::CloseServers(std::function<void()> aClosed)
 {
@@ -214,9 +223,15 @@
 void
 gpLeaseEntryProcess::OnEntryRecord(const gpStoreRecord& aRecord)
 {
-  if (!aRecord.value_.empty()) {
-    Reduce(gpMessageReceived{
-      gpLinkId(), gpEntryAddresses{ { gpAddress(aRecord.value_) } } });
+  if (aRecord.value_.empty()) {
+    return;
+  }
+  const absl::StatusOr<gpKnownEntry> entry =
+    gpParseEntryRecord(aRecord.value_);
+  if (entry.ok()) {
+    Reduce(gpMessageReceived{ gpLinkId(), gpEntryNews{ { *entry } } });
+  } else {
+    NoteBadInput(gpErrorCodeOf(entry.status()));
   }
 }
 
@@ -224,7 +239,7 @@
 gpLeaseEntryProcess::Register()
 {
   store_->Write(gpStoreTopic::Entries,
-                { settings_.name_, GetSelf().address_.value_ },
+                { settings_.name_, gpRenderEntryRecord(MakeSelf()) },
                 [this](const absl::Status& aStatus) {
                   if (!aStatus.ok()) {
                     timers_.Subscribe(gpEventLoop::Now() + kRegisterAgain,
--- a/Source/Entry/gpLeaseEntryProcess.h
+++ b/Source/Entry/gpLeaseEntryProcess.h
@@ -44,6 +44,8 @@
   void OnEntryRecord(const gpStoreRecord& aRecord);
   /// Takes a configuration over, from the store or a peer, and passes it on.
   void TakeConfiguration(const std::string& aText);
+  /// This entry as others hear of it.
+  gpKnownEntry MakeSelf() const;
   /// Writes this entry's address to the store until that has succeeded.
   void Register();
   std::string StatusFields() const;
--- a/Source/Guard/gpLeaseGuardProcess.cxx
+++ b/Source/Guard/gpLeaseGuardProcess.cxx
@@ -40,6 +40,7 @@
     return status;
   }
   gpLeaseGuardOptions options;
+  options.name_ = settings_.name_;
   options.service_ = settings_.service_;
   options.dataCentre_ = settings_.site_.dataCentre_;
   options.fence_ = FirstNumber();
--- a/Source/Lease/gpEntryFinder.cxx
+++ b/Source/Lease/gpEntryFinder.cxx
@@ -1,48 +1,63 @@
 #include "gpEntryFinder.h"
 
+#include <algorithm>
+#include <utility>
+
+#include "gpEntryRanking.h"
+
 namespace {
 
-/// An entry that is restarted is back sooner than this.
-constexpr gpMillis kForgetAfter{ 10000 };
+/// The next entry takes the place of one that can't be reached for so long.
+constexpr gpMillis kReplaceAfter{ 300 };
+/// An entry that is restarted is back sooner than this; after it, an entry is
+/// tried from time to time only.
+constexpr gpMillis kRestAfter{ 10000 };
+/// Period of these tries, and how long each goes on.
+constexpr gpMillis kTryPeriod{ 5000 };
+constexpr gpMillis kTryTime{ 400 };
+/// An entry that isn't reached for so long is forgotten until it's named again.
+constexpr gpMillis kForgetAfter{ 60000 };
+/// Time for a peer to hear that its link is surplus, and for orders that were
+/// under way then.
+constexpr gpMillis kSurplusTime{ 1000 };
+/// Entries that are dialed at most, in parts of the links that are wanted.
+constexpr std::size_t kMostDials = 3;
+/// Period in which time alone may change what is wanted.
+constexpr gpMillis kLookPeriod{ 100 };
+/// Entries that are heard of within this time are passed on together.
+constexpr gpMillis kNewsPeriod{ 200 };
 
 } // namespace
 
-void
-gpEntryFinder::Keep(const std::vector<gpAddress>& aEntries,
-                    gpTime aNow,
-                    gpLeaseEffects& aOut)
+gpEntryFinder::gpEntryFinder(gpEntryFinderOptions aOptions)
+  : options_(std::move(aOptions))
+  , directory_(options_.self_.address_)
 {
-  kept_.insert(aEntries.begin(), aEntries.end());
-  Hear(aEntries, aNow, aOut);
 }
 
 void
-gpEntryFinder::Hear(const std::vector<gpAddress>& aEntries,
-                    gpTime aNow,
-                    gpLeaseEffects& aOut)
+gpEntryFinder::Keep(const std::vector<gpAddress>& aEntries)
 {
-  for (const gpAddress& entry : aEntries) {
-    Watch(entry, aNow, aOut);
-  }
+  directory_.Keep(aEntries);
+  isOrderStale_ = true;
 }
 
 void
-gpEntryFinder::Watch(const gpAddress& aEntry, gpTime aNow, gpLeaseEffects& aOut)
+gpEntryFinder::Hear(const std::vector<gpKnownEntry>& aEntries)
 {
-  if (aEntry == self_ || aEntry.value_.empty()) {
-    return;
-  }
-  if (watched_.insert_or_assign(aEntry, aNow).second) {
-    aOut.Add(gpWatchAddress{ aEntry });
+  for (const gpKnownEntry& entry : aEntries) {
+    isOrderStale_ = directory_.Learn(entry) || isOrderStale_;
   }
 }
 
 void
-gpEntryFinder::OnLinked(const gpAddress& aEntry, gpLinkId aLink, gpTime aNow)
+gpEntryFinder::OnLinked(const gpAddress& aEntry, gpLinkId aLink, gpTime)
 {
   links_.insert_or_assign(aLink, aEntry);
-  watched_.insert_or_assign(aEntry, aNow);
-  changed_ = true;
+  Dial& dial = dials_[aEntry];
+  dial.link_ = aLink;
+  dial.failingSince_.reset();
+  hasChanged_ = true;
 }
 
 void
@@ -52,34 +67,194 @@
   if (found == links_.end()) {
     return;
   }
-  watched_.insert_or_assign(found->second, aNow);
+  Dial& dial = dials_[found->second];
+  dial.link_.reset();
+  dial.failingSince_ = aNow;
+  dial.surplusSince_.reset();
   links_.erase(found);
-  changed_ = true;
+  hasChanged_ = true;
+}
+
+void
+gpEntryFinder::OnDialFailed(const gpAddress& aEntry, gpTime aNow)
+{
+  const auto found = dials_.find(aEntry);
+  if (found != dials_.end() && !found->second.failingSince_.has_value()) {
+    found->second.failingSince_ = aNow;
+  }
+}
+
+void
+gpEntryFinder::Update(gpTime aNow, gpLeaseEffects& aOut)
+{
+  if (!hasChanged_ && !isOrderStale_ && aNow < nextLook_) {
+    return;
+  }
+  nextLook_ = aNow + kLookPeriod;
+  hasChanged_ = false;
+  ForgetLost(aNow, aOut);
+  if (std::exchange(isOrderStale_, false)) {
+    order_ =
+      gpRankEntries(options_.name_, directory_.GetAll(), options_.links_);
+  }
+  const std::vector<gpAddress> wanted = ListWanted(aNow);
+  for (const gpAddress& entry : wanted) {
+    Dial& dial = dials_[entry];
+    dial.surplusSince_.reset();
+    if (!std::exchange(dial.isWatched_, true)) {
+      aOut.Add(gpWatchAddress{ entry });
+    }
+  }
+  DropUnwanted(wanted, aNow, aOut);
+}
+
+std::vector<gpAddress>
+gpEntryFinder::ListWanted(gpTime aNow) const
+{
+  std::vector<gpAddress> wanted;
+  std::size_t reachable = 0;
+  for (const gpAddress& entry : order_) {
+    if (reachable >= options_.links_ ||
+        wanted.size() >= options_.links_ * kMostDials) {
+      break;
+    }
+    if (IsResting(entry, aNow)) {
+      continue;
+    }
+    wanted.push_back(entry);
+    reachable += IsFailingFor(entry, kReplaceAfter, aNow) ? 0 : 1;
+  }
+  return wanted;
+}
+
+bool
+gpEntryFinder::IsFailingFor(const gpAddress& aEntry,
+                            gpMillis aTime,
+                            gpTime aNow) const
+{
+  const auto found = dials_.find(aEntry);
+  return found != dials_.end() && found->second.failingSince_.has_value() &&
+         aNow - *found->second.failingSince_ >= aTime;
+}
+
+bool
+gpEntryFinder::IsResting(const gpAddress& aEntry, gpTime aNow) const
+{
+  // A process without any link keeps trying, as long as it can try all.
+  const bool triesAll =
+    links_.empty() && order_.size() <= options_.links_ * kMostDials;
+  if (triesAll || !IsFailingFor(aEntry, kRestAfter, aNow)) {
+    return false;
+  }
+  const auto failing = aNow - *dials_.at(aEntry).failingSince_;
+  return failing % gpMicros(kTryPeriod) >= gpMicros(kTryTime);
 }
 
 void
-gpEntryFinder::OnDialFailed(const gpAddress& aEntry,
+gpEntryFinder::DropUnwanted(const std::vector<gpAddress>& aWanted,
                             gpTime aNow,
                             gpLeaseEffects& aOut)
 {
-  const auto found = watched_.find(aEntry);
-  if (found == watched_.end() || kept_.contains(aEntry) ||
-      aNow - found->second < kForgetAfter) {
-    return;
+  const auto isLinked = [this](const gpAddress& aEntry) {
+    return dials_.at(aEntry).link_.has_value();
+  };
+  const auto linked = static_cast<std::size_t>(
+    std::count_if(aWanted.begin(), aWanted.end(), isLinked));
+  for (auto& [entry, dial] : dials_) {
+    const bool isWanted =
+      std::find(aWanted.begin(), aWanted.end(), entry) != aWanted.end();
+    if (isWanted || !dial.isWatched_) {
+      continue;
+    }
+    if (!dial.link_.has_value()) {
+      dial.isWatched_ = false;
+      aOut.Add(gpUnwatchAddress{ entry });
+    } else if (linked < options_.links_) {
+      dial.surplusSince_.reset();
+    } else if (!dial.surplusSince_.has_value()) {
+      dial.surplusSince_ = aNow;
+    }
   }
-  watched_.erase(found);
-  aOut.Add(gpUnwatchAddress{ aEntry });
 }
 
-gpEntryAddresses
-gpEntryFinder::MakeNews() const
+void
+gpEntryFinder::ForgetLost(gpTime aNow, gpLeaseEffects& aOut)
 {
-  gpEntryAddresses news;
-  if (!self_.value_.empty()) {
-    news.entries_.push_back(self_);
+  for (auto dial = dials_.begin(); dial != dials_.end();) {
+    const gpAddress& entry = dial->first;
+    if (links_.empty() || directory_.IsKept(entry) ||
+        !IsFailingFor(entry, kForgetAfter, aNow)) {
+      ++dial;
+      continue;
+    }
+    if (dial->second.isWatched_) {
+      aOut.Add(gpUnwatchAddress{ entry });
+    }
+    directory_.Forget(entry);
+    isOrderStale_ = true;
+    dial = dials_.erase(dial);
   }
+}
+
+std::vector<gpLinkId>
+gpEntryFinder::ListSurplus(gpTime aNow) const
+{
+  std::vector<gpLinkId> list;
   for (const auto& [link, entry] : links_) {
-    news.entries_.push_back(entry);
+    const Dial& dial = dials_.at(entry);
+    if (dial.surplusSince_.has_value() &&
+        aNow - *dial.surplusSince_ >= kSurplusTime) {
+      list.push_back(link);
+    }
+  }
+  return list;
+}
+
+bool
+gpEntryFinder::IsSurplus(gpLinkId aLink) const
+{
+  const auto found = links_.find(aLink);
+  return found != links_.end() &&
+         dials_.at(found->second).surplusSince_.has_value();
+}
+
+void
+gpEntryFinder::Release(gpLinkId aLink, gpLeaseEffects& aOut)
+{
+  const auto found = links_.find(aLink);
+  if (found == links_.end()) {
+    return;
+  }
+  dials_.erase(found->second);
+  aOut.Add(gpUnwatchAddress{ found->second });
+  links_.erase(found);
+}
+
+gpEntryNews
+gpEntryFinder::MakeNews(gpTime aNow) const
+{
+  gpEntryNews news;
+  if (!options_.self_.address_.value_.empty()) {
+    news.entries_.push_back(options_.self_);
+  }
+  for (const auto& [address, entry] : directory_.GetAll()) {
+    if (!IsFailingFor(address, kRestAfter, aNow)) {
+      news.entries_.push_back(entry);
+    }
+  }
+  return news;
+}
+
+std::optional<gpEntryNews>
+gpEntryFinder::TakeNews(gpTime aNow)
+{
+  if (aNow < nextNews_) {
+    return std::nullopt;
+  }
+  gpEntryNews news{ directory_.TakeNews() };
+  if (news.entries_.empty()) {
+    return std::nullopt;
   }
+  nextNews_ = aNow + kNewsPeriod;
   return news;
 }
--- a/Source/Lease/gpEntryLinks.cxx
+++ b/Source/Lease/gpEntryLinks.cxx
@@ -1,5 +1,6 @@
 #include "gpEntryLinks.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace {
@@ -8,6 +9,8 @@
 /// for each entry that is linked: what an entry hears then doesn't grow with
 /// the number of entries.
 constexpr gpMillis kRoomPeriodPerEntry{ 4 };
+/// An entry that ordered nothing for so long takes no part of the target.
+constexpr gpMillis kSharingTime{ 1000 };
 
 } // namespace
 
@@ -45,6 +48,34 @@
   return links_.at(aLink).entry_;
 }
 
+void
+gpEntryLinks::NoteOrdered(gpLinkId aLink, gpTime aNow)
+{
+  Link& link = links_.at(aLink);
+  ++link.runsSeen_;
+  link.orderedAt_ = aNow;
+}
+
+void
+gpEntryLinks::SetSurplus(gpLinkId aLink, bool aIsSurplus)
+{
+  const auto found = links_.find(aLink);
+  if (found != links_.end()) {
+    found->second.isSurplus_ = aIsSurplus;
+  }
+}
+
+std::uint32_t
+gpEntryLinks::CountSharers(gpLinkId aLink, gpTime aNow) const
+{
+  const auto others =
+    std::count_if(links_.begin(), links_.end(), [&](const auto& aEntry) {
+      return aEntry.first != aLink &&
+             aNow - aEntry.second.orderedAt_ < kSharingTime;
+    });
+  return static_cast<std::uint32_t>(others) + 1;
+}
+
 void
 gpEntryLinks::Report(gpLinkId aLink, gpRunReport aReport, gpLeaseEffects& aOut)
 {
@@ -74,15 +105,18 @@
   const bool isTime = aNow >= nextTellAt_;
   for (auto& [id, link] : links_) {
     const bool isFirst = !std::exchange(link.told_, true);
-    const bool isNews = isFirst || aNews != link.toldNews_;
+    gpTargetNews news = aNews;
+    news.takesWork_ = news.takesWork_ && !link.isSurplus_;
+    const bool isNews = isFirst || news != link.toldNews_;
     if (isNews) {
-      link.toldNews_ = aNews;
-      aOut.Send(id, aNews);
+      link.toldNews_ = news;
+      aOut.Send(id, std::move(news));
     }
     const bool mayTell = std::exchange(link.sentNow_, false) || isTime;
     if (isNews || (mayTell && aFree != link.toldFree_)) {
       link.toldFree_ = aFree;
-      aOut.Send(id, gpRoomReport{ aFree, link.runsSeen_ });
+      aOut.Send(
+        id, gpRoomReport{ aFree, link.runsSeen_, CountSharers(id, aNow) });
     }
   }
   if (isTime) {
--- a/Source/Lease/gpEntryLinks.h
+++ b/Source/Lease/gpEntryLinks.h
@@ -26,7 +26,10 @@
   std::size_t Count() const { return links_.size(); }
 
   /// A run was ordered on the link.
-  void NoteOrdered(gpLinkId aLink) { ++links_.at(aLink).runsSeen_; }
+  void NoteOrdered(gpLinkId aLink, gpTime aNow);
+  /// The link is to be closed: its entry is told that it gets no more work.
+  void SetSurplus(gpLinkId aLink, bool aIsSurplus);
+  bool IsSurplus(gpLinkId aLink) const { return links_.at(aLink).isSurplus_; }
   /// Sends a report on the link.
   void Report(gpLinkId aLink, gpRunReport aReport, gpLeaseEffects& aOut);
   /// Sends a report to the entry, if it's linked.
@@ -44,12 +47,17 @@
   {
     gpIncarnation entry_;
     std::uint64_t runsSeen_ = 0;
+    gpTime orderedAt_;
+    bool isSurplus_ = false;
     bool sentNow_ = false;
     bool told_ = false;
     gpResources toldFree_;
     gpTargetNews toldNews_;
   };
 
+  /// Entries that share the target with the one of the link, and that one.
+  std::uint32_t CountSharers(gpLinkId aLink, gpTime aNow) const;
+
   std::map<gpLinkId, Link> links_;
   gpTime nextTellAt_;
 };
--- /dev/null
+++ b/Source/Lease/gpEntryRanking.cxx
@@ -0,0 +1,77 @@
+#include "gpEntryRanking.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+#include "gpDigest.h"
+
+namespace {
+
+/// Weight of an entry that hasn't told what it can carry.
+constexpr double kUsualMilliCores = 250;
+/// Callers come to an entry whatever its size, while the upkeep of its links
+/// takes processor: the weight lies between an equal and a proportional part.
+constexpr double kWeightExponent = 0.5;
+
+struct Ranked
+{
+  double score_ = 0;
+  const gpKnownEntry* entry_ = nullptr;
+};
+
+double
+WeightOf(const gpKnownEntry& aEntry)
+{
+  const double milliCores =
+    aEntry.milliCores_ == 0 ? kUsualMilliCores : aEntry.milliCores_;
+  return std::pow(milliCores, kWeightExponent);
+}
+
+/// The highest score wins; each entry does with a chance by its weight.
+double
+ScoreOf(const std::string& aSelf, const gpKnownEntry& aEntry)
+{
+  const std::uint64_t seed = gpStableHash(aSelf, 0);
+  const std::uint64_t hash = gpStableHash(aEntry.address_.value_, seed);
+  const double part =
+    (static_cast<double>(hash) + 1) /
+    (static_cast<double>(std::numeric_limits<std::uint64_t>::max()) + 2);
+  return -WeightOf(aEntry) / std::log(std::min(part, 1 - 1e-15));
+}
+
+} // namespace
+
+std::vector<gpAddress>
+gpRankEntries(const std::string& aSelf,
+              const std::map<gpAddress, gpKnownEntry>& aEntries,
+              std::size_t aCount)
+{
+  std::vector<Ranked> ranked;
+  for (const auto& [address, entry] : aEntries) {
+    ranked.push_back({ ScoreOf(aSelf, entry), &entry });
+  }
+  std::sort(
+    ranked.begin(), ranked.end(), [](const Ranked& aLeft, const Ranked& aRight) {
+      return aLeft.score_ > aRight.score_;
+    });
+  const std::size_t mostOfOne = (aCount + 1) / 2;
+  std::map<gpDataCentreName, std::size_t> taken;
+  std::vector<gpAddress> order;
+  std::vector<gpAddress> later;
+  for (const Ranked& each : ranked) {
+    const gpDataCentreName& dataCentre = each.entry_->dataCentre_;
+    const bool isFull = order.size() < aCount &&
+                        !dataCentre.value_.empty() &&
+                        taken[dataCentre] >= mostOfOne;
+    if (isFull) {
+      later.push_back(each.entry_->address_);
+    } else {
+      ++taken[dataCentre];
+      order.push_back(each.entry_->address_);
+    }
+  }
+  order.insert(order.end(), later.begin(), later.end());
+  return order;
+}
--- a/Source/Lease/gpLeaseAdmission.cxx
+++ b/Source/Lease/gpLeaseAdmission.cxx
@@ -97,12 +97,11 @@
     work += static_cast<double>(step.needs_.milliCores_) *
             static_cast<double>(step.estimate_.count());
   }
-  const double capacity =
-    board_.GetCapacity(aJob.queue_.service_) / static_cast<double>(entries_);
-  if (work == 0 || capacity == 0) {
+  const double share = board_.GetShare(aJob.queue_.service_);
+  if (work == 0 || share == 0) {
     return gpMillis(0);
   }
-  return gpMillis(std::llround(work / capacity));
+  return gpMillis(std::llround(work / share));
 }
 
 gpLeaseAnswer
--- a/Source/Lease/gpLeaseAdmission.h
+++ b/Source/Lease/gpLeaseAdmission.h
@@ -24,9 +24,6 @@
   {
   }
 
-  /// Entries that share the targets, this one included.
-  void SetEntries(std::size_t aEntries) { entries_ = aEntries; }
-
   /// Why the job can't be served, whatever the load; not set if it can.
   std::optional<gpLeaseAnswer> FindRefusal(const gpLeaseJob& aJob,
                                            const gpQueue* aQueue,
@@ -49,5 +46,4 @@
   const gpTargetBoard& board_;
   const gpLeaseJobTable& jobs_;
   gpLengthEstimator lengths_;
-  std::size_t entries_ = 1;
 };
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -22,8 +22,8 @@
 
 gpLeaseEntryReducer::gpLeaseEntryReducer(gpLeaseEntryOptions aOptions)
   : options_(std::move(aOptions))
-  , finder_(options_.address_)
-  , board_(options_.dataCentre_)
+  , finder_({ options_.self_, options_.self_.address_.value_, options_.links_ })
+  , board_(options_.self_.dataCentre_)
   , admission_(board_, jobs_)
   , orders_(options_.firstRun_)
 {
@@ -33,11 +33,13 @@
 gpLeaseEntryReducer::Reduce(const gpLeaseEntryEvent& aEvent)
 {
   now_ = aEvent.now_;
+  mayPlace_ = true;
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
-  admission_.SetEntries(finder_.GetLinks().size() + 1);
-  Dispatch();
+  if (mayPlace_) {
+    Dispatch();
+  }
   orders_.Flush(out_);
-  TellPeers();
+  UpdatePeers();
   ContinueShutdown();
   ScheduleWake();
   return out_.Take();
@@ -160,7 +162,7 @@
 void
 gpLeaseEntryReducer::On(const gpEntriesFound& aEvent)
 {
-  finder_.Keep(aEvent.entries_, now_, out_);
+  finder_.Keep(aEvent.entries_);
 }
 
 void
@@ -170,16 +172,13 @@
   if (peer.role_ == gpRole::Guard) {
     guards_.insert_or_assign(aEvent.link_, peer.incarnation_);
     board_.OnLinked(peer.incarnation_, aEvent.link_);
-    out_.Send(aEvent.link_, finder_.MakeNews());
-    return;
-  }
-  if (aEvent.dialed_.has_value()) {
+  } else if (aEvent.dialed_.has_value()) {
     finder_.OnLinked(*aEvent.dialed_, aEvent.link_, now_);
-    tellPeers_ = true;
   } else {
     peers_.insert(aEvent.link_);
-    finder_.Hear({ peer.address_ }, now_, out_);
+    finder_.Hear({ gpKnownEntry{ peer.address_, {}, 0 } });
   }
+  out_.Send(aEvent.link_, finder_.MakeNews(now_));
 }
 
 void
@@ -215,7 +214,7 @@
 void
 gpLeaseEntryReducer::On(const gpDialFailed& aEvent)
 {
-  finder_.OnDialFailed(aEvent.address_, now_, out_);
+  finder_.OnDialFailed(aEvent.address_, now_);
 }
 
 void
@@ -246,6 +245,8 @@
            guard->second,
            gpRunEndName(aMessage.end_));
   if (aMessage.end_ == gpRunEnd::Done) {
+    // The room that it leaves is told with another message.
+    mayPlace_ = job->job_.steps_.size() > 1;
     OnTaskDone(*job, index);
   } else {
     OnTaskBack(*job, index, aMessage.end_);
@@ -318,15 +319,15 @@
 {
   const auto guard = guards_.find(aLink);
   if (guard != guards_.end()) {
-    board_.OnRoom(guard->second, aMessage, now_);
+    mayPlace_ = board_.OnRoom(guard->second, aMessage, now_);
   }
 }
 
 void
 gpLeaseEntryReducer::OnMessage(gpLinkId /*aLink*/,
-                               const gpEntryAddresses& aMessage)
+                               const gpEntryNews& aMessage)
 {
-  finder_.Hear(aMessage.entries_, now_, out_);
+  finder_.Hear(aMessage.entries_);
 }
 
 void
@@ -473,18 +474,24 @@
 }
 
 void
-gpLeaseEntryReducer::TellPeers()
+gpLeaseEntryReducer::UpdatePeers()
 {
-  const bool changed = finder_.TakeChanged();
-  if (!changed && !std::exchange(tellPeers_, false)) {
+  finder_.Update(now_, out_);
+  for (const gpLinkId link : finder_.ListSurplus(now_)) {
+    finder_.Release(link, out_);
+  }
+  const auto news = finder_.TakeNews(now_);
+  if (!news.has_value()) {
     return;
   }
-  const gpEntryAddresses news = finder_.MakeNews();
   for (const auto& [link, guard] : guards_) {
-    out_.Send(link, news);
+    out_.Send(link, *news);
   }
   for (const gpLinkId link : peers_) {
-    out_.Send(link, news);
+    out_.Send(link, *news);
+  }
+  for (const auto& [link, entry] : finder_.GetLinks()) {
+    out_.Send(link, *news);
   }
 }
 
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -19,9 +19,10 @@
  */
 struct gpLeaseEntryOptions
 {
-  /// Where other processes of the system connect.
-  gpAddress address_;
-  gpDataCentreName dataCentre_;
+  /// This entry as others hear of it.
+  gpKnownEntry self_;
+  /// Other entries to be linked with.
+  std::size_t links_ = 4;
   /// Run numbers begin above this; higher than those of any former incarnation.
   std::uint64_t firstRun_ = 1;
   /// Longest time between the request to end and the end.
@@ -74,7 +75,7 @@
   void OnMessage(gpLinkId aLink, const gpRunsHeld& aMessage);
   void OnMessage(gpLinkId aLink, const gpTargetNews& aMessage);
   void OnMessage(gpLinkId aLink, const gpRoomReport& aMessage);
-  void OnMessage(gpLinkId aLink, const gpEntryAddresses& aMessage);
+  void OnMessage(gpLinkId aLink, const gpEntryNews& aMessage);
   /// A message that these entries don't take.
   template<typename Message>
   void OnMessage(gpLinkId, const Message&)
@@ -97,7 +98,8 @@
   void Dispatch();
   void SendRun(gpLeaseRecord& aJob, std::size_t aTask, gpIncarnation aGuard);
   void LoseGuard(gpIncarnation aGuard);
-  void TellPeers();
+  /// Links with other entries, and passes on which ones were heard of.
+  void UpdatePeers();
   /// Whether no more jobs are taken in, as the process ends soon.
   bool IsEnding() const;
   void ContinueShutdown();
@@ -127,6 +129,7 @@
   gpRunOrders orders_;
   gpTime wakeAt_;
   gpTime shutdownAt_ = gpTime::max();
-  bool tellPeers_ = false;
+  /// Whether the event may have made a task placeable that wasn't.
+  bool mayPlace_ = false;
   bool stopped_ = false;
 };
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -22,7 +22,7 @@
 
 gpLeaseGuardReducer::gpLeaseGuardReducer(gpLeaseGuardOptions aOptions)
   : options_(std::move(aOptions))
-  , finder_(gpAddress())
+  , finder_({ {}, options_.name_, options_.links_ })
   , target_(options_.fence_)
 {
 }
@@ -35,6 +35,7 @@
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
   RepeatStops();
   Look();
+  UpdateLinks();
   links_.Tell(MakeNews(), runs_.GetFree(), now_, out_);
   ContinueShutdown();
   ScheduleWake();
@@ -72,6 +73,23 @@
   }
 }
 
+void
+gpLeaseGuardReducer::UpdateLinks()
+{
+  finder_.Update(now_, out_);
+  for (const auto& [link, entry] : finder_.GetLinks()) {
+    links_.SetSurplus(link, finder_.IsSurplus(link));
+  }
+  for (const gpLinkId link : finder_.ListSurplus(now_)) {
+    const bool isIdle =
+      links_.Contains(link) && runs_.ListOf(links_.GetEntry(link)).empty();
+    if (isIdle) {
+      links_.Close(link);
+      finder_.Release(link, out_);
+    }
+  }
+}
+
 bool
 gpLeaseGuardReducer::TakesWork() const
 {
@@ -83,7 +101,7 @@
 void
 gpLeaseGuardReducer::On(const gpEntriesFound& aEvent)
 {
-  finder_.Keep(aEvent.entries_, now_, out_);
+  finder_.Keep(aEvent.entries_);
 }
 
 void
@@ -114,7 +132,7 @@
 void
 gpLeaseGuardReducer::On(const gpDialFailed& aEvent)
 {
-  finder_.OnDialFailed(aEvent.address_, now_, out_);
+  finder_.OnDialFailed(aEvent.address_, now_);
 }
 
 void
@@ -149,9 +167,9 @@
 
 void
 gpLeaseGuardReducer::OnMessage(gpLinkId /*aLink*/,
-                               const gpEntryAddresses& aMessage)
+                               const gpEntryNews& aMessage)
 {
-  finder_.Hear(aMessage.entries_, now_, out_);
+  finder_.Hear(aMessage.entries_);
 }
 
 void
@@ -159,9 +177,10 @@
                               const gpRunOrder& aOrder,
                               const gpRunId& aRun)
 {
-  links_.NoteOrdered(aLink);
-  if (!TakesWork()) {
+  links_.NoteOrdered(aLink, now_);
+  if (!TakesWork() || links_.IsSurplus(aLink)) {
     const bool isLeaving = shutdownEnd_ != gpTime::max() ||
+                           links_.IsSurplus(aLink) ||
                            (target_.IsKnown() && target_.IsLeaving());
     Refuse(aLink, aRun, isLeaving ? gpRunEnd::Leaving : gpRunEnd::Unhealthy);
     return;
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -17,8 +17,12 @@
  */
 struct gpLeaseGuardOptions
 {
+  /// Unlike that of other guards; decides with its choice of entries.
+  std::string name_;
   gpServiceName service_;
   gpDataCentreName dataCentre_;
+  /// Entries to be linked with.
+  std::size_t links_ = 8;
   /// Higher than the fence of any former incarnation.
   std::uint64_t fence_ = 0;
   /// Longest time for the end of the runs at a shutdown.
@@ -67,7 +71,7 @@
 
   void OnMessage(gpLinkId aLink, const gpRunOrder& aMessage);
   void OnMessage(gpLinkId aLink, const gpRunCancel& aMessage);
-  void OnMessage(gpLinkId aLink, const gpEntryAddresses& aMessage);
+  void OnMessage(gpLinkId aLink, const gpEntryNews& aMessage);
   /// A message that these guards don't take.
   template<typename Message>
   void OnMessage(gpLinkId, const Message&)
@@ -76,6 +80,8 @@
 
   /// Closes all links if the process was not scheduled for too long.
   void CheckPause();
+  /// Links with the entries that are wanted, and gives up links that aren't.
+  void UpdateLinks();
   bool TakesWork() const;
   void StartOne(gpLinkId aLink, const gpRunOrder& aOrder, const gpRunId& aRun);
   /// Stops a run that may be at work, or makes sure that it never begins.
--- a/Source/Lease/gpTargetBoard.cxx
+++ b/Source/Lease/gpTargetBoard.cxx
@@ -123,21 +123,24 @@
   }
 }
 
-void
+bool
 gpTargetBoard::OnRoom(gpIncarnation aGuard,
                       const gpRoomReport& aRoom,
                       gpTime aNow)
 {
   gpTargetView* view = Find(aGuard);
   if (view == nullptr) {
-    return;
+    return false;
   }
+  const gpResources before = view->GetFree();
   view->reportedFree_ = aRoom.free_;
   view->reportedAt_ = aNow;
+  view->sharers_ = std::max(aRoom.sharers_, 1U);
   while (!view->unreported_.empty() &&
          view->unreported_.front().first <= aRoom.runsSeen_) {
     view->unreported_.pop_front();
   }
+  return !before.Covers(view->GetFree());
 }
 
 gpTargetView*
@@ -310,15 +313,15 @@
 }
 
 double
-gpTargetBoard::GetCapacity(const gpServiceName& aService) const
+gpTargetBoard::GetShare(const gpServiceName& aService) const
 {
-  double capacity = 0;
+  double share = 0;
   for (const auto& [guard, view] : views_) {
     if (view.news_.takesWork_ && view.news_.service_ == aService &&
         !view.health_.IsEjected()) {
-      capacity +=
-        static_cast<double>(view.news_.capacity_.milliCores_) / view.slowness_;
+      share += static_cast<double>(view.news_.capacity_.milliCores_) /
+               (view.slowness_ * view.sharers_);
     }
   }
-  return capacity;
+  return share;
 }
--- a/Source/Lease/gpTargetBoard.h
+++ b/Source/Lease/gpTargetBoard.h
@@ -23,6 +23,8 @@
   gpTargetNews news_;
   gpResources reportedFree_;
   gpTime reportedAt_;
+  /// Entries that share the target, this one included.
+  std::uint32_t sharers_ = 1;
   /// Runs ordered on this link; the first ones are in the guard's reports.
   std::uint64_t runsOrdered_ = 0;
   /// Needs of the ordered runs that no report takes into account yet, each with
@@ -79,7 +81,8 @@
   void OnLinked(gpIncarnation aGuard, gpLinkId aLink);
   void OnLost(gpIncarnation aGuard) { views_.erase(aGuard); }
   void OnNews(gpIncarnation aGuard, const gpTargetNews& aNews);
-  void OnRoom(gpIncarnation aGuard, const gpRoomReport& aRoom, gpTime aNow);
+  /// True if there may be room for more than before.
+  bool OnRoom(gpIncarnation aGuard, const gpRoomReport& aRoom, gpTime aNow);
 
   gpTargetView* Find(gpIncarnation aGuard);
   const std::map<gpIncarnation, gpTargetView>& GetAll() const { return views_; }
@@ -109,9 +112,9 @@
   /// Whether a target of the service could hold the task when it is empty.
   bool CouldHold(const gpServiceName& aService,
                  const gpResources& aNeeds) const;
-  /// Processor of all targets of the service that take work, in thousandths of
-  /// a core of average speed.
-  double GetCapacity(const gpServiceName& aService) const;
+  /// This entry's part of the processor of all targets of the service that take
+  /// work, in thousandths of a core of average speed.
+  double GetShare(const gpServiceName& aService) const;
 
 private:
   /// The median over the targets that may be given work.
--- a/Source/Model/gpLeaseSettings.h
+++ b/Source/Model/gpLeaseSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
   gpAddress linkListen_;
   /// The address for links that others are told; empty: the one in use.
   gpAddress linkAdvertise_;
+  /// Processor that an entry may use, in thousandths of a core; 0 if not told.
+  std::uint32_t milliCores_ = 0;
   /// Entries to begin with; may be out of date.
   std::vector<gpAddress> entries_;
   gpAddress store_;
--- a/Source/Model/gpMessage.h
+++ b/Source/Model/gpMessage.h
@@ -86,4 +86,4 @@
                                gpRunsHeld,
                                gpTargetNews,
                                gpRoomReport,
-                               gpEntryAddresses>;
+                               gpEntryNews>;
--- a/Source/Model/gpRunMessages.h
+++ b/Source/Model/gpRunMessages.h
@@ -119,18 +119,37 @@
   gpResources free_;
   /// Runs ordered on this link that the figure takes into account.
   std::uint64_t runsSeen_ = 0;
+  /// Entries that share the target: the receiver, and others that ordered runs
+  /// lately.
+  std::uint32_t sharers_ = 1;
 
   bool operator==(const gpRoomReport&) const = default;
 };
 
-/** \class gpEntryAddresses
- * \brief Any process to any: the entries that the sender has links to.
+/** \class gpKnownEntry
+ * \brief An entry as others hear of it.
  */
-struct gpEntryAddresses
+struct gpKnownEntry
 {
-  std::vector<gpAddress> entries_;
+  /// Where it listens for links.
+  gpAddress address_;
+  /// Empty if only the address is known, as from the settings.
+  gpDataCentreName dataCentre_;
+  /// Processor that it may use, in thousandths of a core; 0 if not known.
+  std::uint32_t milliCores_ = 0;
+
+  bool operator==(const gpKnownEntry&) const = default;
+};
+
+/** \class gpEntryNews
+ * \brief Entry to any process: entries that the sender knows, all of them when
+ * the link opens and then those that it has heard of since.
+ */
+struct gpEntryNews
+{
+  std::vector<gpKnownEntry> entries_;
 
-  bool operator==(const gpEntryAddresses&) const = default;
+  bool operator==(const gpEntryNews&) const = default;
 };
 
 /// The name of an end in logs, such as "no_room".
--- a/Source/Wire/gpFrameCodec.h
+++ b/Source/Wire/gpFrameCodec.h
@@ -21,7 +21,7 @@
 {
 public:
   /// Version of the schema and of the link protocol; told in gpHello.
-  static constexpr std::uint32_t kProtocolVersion = 1;
+  static constexpr std::uint32_t kProtocolVersion = 2;
   /// Most messages in one frame.
   static constexpr std::size_t kMaxMessages = 65536;
   /// Most bytes of one frame that can be decoded.
--- a/Source/Wire/gpWireRuns.cxx
+++ b/Source/Wire/gpWireRuns.cxx
@@ -171,7 +171,8 @@
 gpWriteWire(FlatBufferBuilder& aBuilder, const gpRoomReport& aIn)
 {
   const auto free = WriteResources(aBuilder, aIn.free_);
-  return gpWire::CreateRoomReport(aBuilder, free, aIn.runsSeen_);
+  return gpWire::CreateRoomReport(
+    aBuilder, free, aIn.runsSeen_, aIn.sharers_);
 }
 
 bool
@@ -180,24 +181,40 @@
            gpRoomReport& aOut)
 {
   aOut.runsSeen_ = aIn->runs_seen();
+  aOut.sharers_ = aIn->sharers();
   return ReadResources(aReader, aIn->free(), aOut.free_);
 }
 
-Offset<gpWire::EntryAddresses>
-gpWriteWire(FlatBufferBuilder& aBuilder, const gpEntryAddresses& aIn)
+Offset<gpWire::KnownEntry>
+gpWriteWire(FlatBufferBuilder& aBuilder, const gpKnownEntry& aIn)
 {
-  std::vector<std::string> texts;
-  texts.reserve(aIn.entries_.size());
-  for (const gpAddress& entry : aIn.entries_) {
-    texts.push_back(entry.value_);
-  }
-  return gpWire::CreateEntryAddresses(aBuilder, WriteTexts(aBuilder, texts));
+  const auto address = aBuilder.CreateString(aIn.address_.value_);
+  const auto dataCentre = aBuilder.CreateString(aIn.dataCentre_.value_);
+  return gpWire::CreateKnownEntry(
+    aBuilder, address, dataCentre, aIn.milliCores_);
+}
+
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::KnownEntry* aIn,
+           gpKnownEntry& aOut)
+{
+  aOut.milliCores_ = aIn->milli_cores();
+  return aReader.Read(aIn->address(), aOut.address_) &&
+         aReader.Read(aIn->data_centre(), aOut.dataCentre_);
+}
+
+Offset<gpWire::EntryNews>
+gpWriteWire(FlatBufferBuilder& aBuilder, const gpEntryNews& aIn)
+{
+  const auto entries = gpWriteTables(aBuilder, aIn.entries_);
+  return gpWire::CreateEntryNews(aBuilder, entries);
 }
 
 bool
 gpReadWire(gpWireReader& aReader,
-           const gpWire::EntryAddresses* aIn,
-           gpEntryAddresses& aOut)
+           const gpWire::EntryNews* aIn,
+           gpEntryNews& aOut)
 {
-  return ReadTexts(aReader, aIn->entries(), aOut.entries_);
+  return aReader.ReadTables(aIn->entries(), aOut.entries_);
 }
--- a/Source/Wire/gpWireRuns.h
+++ b/Source/Wire/gpWireRuns.h
@@ -48,10 +48,10 @@
            const gpWire::RoomReport* aIn,
            gpRoomReport& aOut);
 
-flatbuffers::Offset<gpWire::EntryAddresses>
+flatbuffers::Offset<gpWire::EntryNews>
 gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder,
-            const gpEntryAddresses& aIn);
+            const gpEntryNews& aIn);
 bool
 gpReadWire(gpWireReader& aReader,
-           const gpWire::EntryAddresses* aIn,
-           gpEntryAddresses& aOut);
+           const gpWire::EntryNews* aIn,
+           gpEntryNews& aOut);
--- a/Source/Wire/gpWire_generated.h
+++ b/Source/Wire/gpWire_generated.h
@@ -134,8 +134,11 @@
 struct RoomReport;
 struct RoomReportBuilder;
 
-struct EntryAddresses;
-struct EntryAddressesBuilder;
+struct KnownEntry;
+struct KnownEntryBuilder;
+
+struct EntryNews;
+struct EntryNewsBuilder;
 
 struct Frame;
 struct FrameBuilder;
@@ -597,9 +600,9 @@
   RunsHeld = 24,
   TargetNews = 25,
   RoomReport = 26,
-  EntryAddresses = 27,
+  EntryNews = 27,
   MIN = NONE,
-  MAX = EntryAddresses
+  MAX = EntryNews
 };
 
 inline const Message (&EnumValuesMessage())[28] {
@@ -631,7 +634,7 @@
     Message::RunsHeld,
     Message::TargetNews,
     Message::RoomReport,
-    Message::EntryAddresses
+    Message::EntryNews
   };
   return values;
 }
@@ -665,14 +668,14 @@
     "RunsHeld",
     "TargetNews",
     "RoomReport",
-    "EntryAddresses",
+    "EntryNews",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::EntryAddresses)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::EntryNews)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -785,8 +788,8 @@
   static const Message enum_value = Message::RoomReport;
 };
 
-template<> struct MessageTraits<gpWire::EntryAddresses> {
-  static const Message enum_value = Message::EntryAddresses;
+template<> struct MessageTraits<gpWire::EntryNews> {
+  static const Message enum_value = Message::EntryNews;
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -3817,7 +3820,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FREE = 4,
-    VT_RUNS_SEEN = 6
+    VT_RUNS_SEEN = 6,
+    VT_SHARERS = 8
   };
   const gpWire::Resources *free() const {
     return GetPointer<const gpWire::Resources *>(VT_FREE);
@@ -3825,11 +3829,15 @@
   uint64_t runs_seen() const {
     return GetField<uint64_t>(VT_RUNS_SEEN, 0);
   }
+  uint32_t sharers() const {
+    return GetField<uint32_t>(VT_SHARERS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_FREE) &&
            verifier.VerifyTable(free()) &&
            VerifyField<uint64_t>(verifier, VT_RUNS_SEEN, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SHARERS, 4) &&
            verifier.EndTable();
   }
 };
@@ -3844,6 +3852,9 @@
   void add_runs_seen(uint64_t runs_seen) {
     fbb_.AddElement<uint64_t>(RoomReport::VT_RUNS_SEEN, runs_seen, 0);
   }
+  void add_sharers(uint32_t sharers) {
+    fbb_.AddElement<uint32_t>(RoomReport::VT_SHARERS, sharers, 0);
+  }
   explicit RoomReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3859,9 +3870,11 @@
 inline flatbuffers::Offset<RoomReport> CreateRoomReport(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<gpWire::Resources> free = 0,
-    uint64_t runs_seen = 0) {
+    uint64_t runs_seen = 0,
+    uint32_t sharers = 0) {
   RoomReportBuilder builder_(_fbb);
   builder_.add_runs_seen(runs_seen);
+  builder_.add_sharers(sharers);
   builder_.add_free(free);
   return builder_.Finish();
 }
@@ -3871,61 +3884,146 @@
   static auto constexpr Create = CreateRoomReport;
 };
 
-struct EntryAddresses FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef EntryAddressesBuilder Builder;
+struct KnownEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef KnownEntryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ADDRESS = 4,
+    VT_DATA_CENTRE = 6,
+    VT_MILLI_CORES = 8
+  };
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  uint32_t milli_cores() const {
+    return GetField<uint32_t>(VT_MILLI_CORES, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffsetRequired(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           VerifyField<uint32_t>(verifier, VT_MILLI_CORES, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct KnownEntryBuilder {
+  typedef KnownEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(KnownEntry::VT_ADDRESS, address);
+  }
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(KnownEntry::VT_DATA_CENTRE, data_centre);
+  }
+  void add_milli_cores(uint32_t milli_cores) {
+    fbb_.AddElement<uint32_t>(KnownEntry::VT_MILLI_CORES, milli_cores, 0);
+  }
+  explicit KnownEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<KnownEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<KnownEntry>(end);
+    fbb_.Required(o, KnownEntry::VT_ADDRESS);
+    fbb_.Required(o, KnownEntry::VT_DATA_CENTRE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<KnownEntry> CreateKnownEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    uint32_t milli_cores = 0) {
+  KnownEntryBuilder builder_(_fbb);
+  builder_.add_milli_cores(milli_cores);
+  builder_.add_data_centre(data_centre);
+  builder_.add_address(address);
+  return builder_.Finish();
+}
+
+struct KnownEntry::Traits {
+  using type = KnownEntry;
+  static auto constexpr Create = CreateKnownEntry;
+};
+
+inline flatbuffers::Offset<KnownEntry> CreateKnownEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *address = nullptr,
+    const char *data_centre = nullptr,
+    uint32_t milli_cores = 0) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  return gpWire::CreateKnownEntry(
+      _fbb,
+      address__,
+      data_centre__,
+      milli_cores);
+}
+
+struct EntryNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EntryNewsBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ENTRIES = 4
   };
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *entries() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ENTRIES);
+  const flatbuffers::Vector<flatbuffers::Offset<gpWire::KnownEntry>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::KnownEntry>> *>(VT_ENTRIES);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
-           verifier.VerifyVectorOfStrings(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
            verifier.EndTable();
   }
 };
 
-struct EntryAddressesBuilder {
-  typedef EntryAddresses Table;
+struct EntryNewsBuilder {
+  typedef EntryNews Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> entries) {
-    fbb_.AddOffset(EntryAddresses::VT_ENTRIES, entries);
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::KnownEntry>>> entries) {
+    fbb_.AddOffset(EntryNews::VT_ENTRIES, entries);
   }
-  explicit EntryAddressesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit EntryNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<EntryAddresses> Finish() {
+  flatbuffers::Offset<EntryNews> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<EntryAddresses>(end);
-    fbb_.Required(o, EntryAddresses::VT_ENTRIES);
+    auto o = flatbuffers::Offset<EntryNews>(end);
+    fbb_.Required(o, EntryNews::VT_ENTRIES);
     return o;
   }
 };
 
-inline flatbuffers::Offset<EntryAddresses> CreateEntryAddresses(
+inline flatbuffers::Offset<EntryNews> CreateEntryNews(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> entries = 0) {
-  EntryAddressesBuilder builder_(_fbb);
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::KnownEntry>>> entries = 0) {
+  EntryNewsBuilder builder_(_fbb);
   builder_.add_entries(entries);
   return builder_.Finish();
 }
 
-struct EntryAddresses::Traits {
-  using type = EntryAddresses;
-  static auto constexpr Create = CreateEntryAddresses;
+struct EntryNews::Traits {
+  using type = EntryNews;
+  static auto constexpr Create = CreateEntryNews;
 };
 
-inline flatbuffers::Offset<EntryAddresses> CreateEntryAddressesDirect(
+inline flatbuffers::Offset<EntryNews> CreateEntryNewsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *entries = nullptr) {
-  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*entries) : 0;
-  return gpWire::CreateEntryAddresses(
+    const std::vector<flatbuffers::Offset<gpWire::KnownEntry>> *entries = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<gpWire::KnownEntry>>(*entries) : 0;
+  return gpWire::CreateEntryNews(
       _fbb,
       entries__);
 }
@@ -4309,8 +4407,8 @@
       auto ptr = reinterpret_cast<const gpWire::RoomReport *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case Message::EntryAddresses: {
-      auto ptr = reinterpret_cast<const gpWire::EntryAddresses *>(obj);
+    case Message::EntryNews: {
+      auto ptr = reinterpret_cast<const gpWire::EntryNews *>(obj);
       return verifier.VerifyTable(ptr);
     }
     default: return true;
--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -146,23 +146,30 @@
   aProcess.wakeAt_ = gpTime{};
 }
 
+gpAddress
+gpLeaseHistory::AddressOf(std::size_t aEntry)
+{
+  return gpAddress("entry-" + std::to_string(aEntry));
+}
+
+std::size_t
+gpLeaseHistory::EntryAt(const gpAddress& aAddress)
+{
+  return std::stoul(aAddress.value_.substr(aAddress.value_.find('-') + 1));
+}
+
 void
 gpLeaseHistory::StartEntry(std::size_t aIndex)
 {
   Process& process = entries_[aIndex];
   Begin(process, aIndex, gpRole::Entry);
-  process.peer_.address_ = gpAddress("entry-" + std::to_string(aIndex));
+  process.peer_.address_ = AddressOf(aIndex);
   gpLeaseEntryOptions options;
-  options.address_ = process.peer_.address_;
-  options.dataCentre_ = gpDataCentreName("a");
+  options.self_ = { process.peer_.address_, gpDataCentreName("a"), 250 };
   options.firstRun_ = WallClockMs();
   options.shutdown_ = gpMillis(5000);
   process.entry_ = std::make_unique<gpLeaseEntryReducer>(options);
   GiveEntry(aIndex, gpQueuesChanged{ MakeQueues() });
-  for (std::size_t guard = 0; guard < guards_.size(); ++guard) {
-    At(now_ + gpMillis(Draw(100)),
-       [this, guard, aIndex] { Dial(guard, aIndex); });
-  }
 }
 
 void
@@ -171,16 +178,19 @@
   Process& process = guards_[aIndex];
   Begin(process, aIndex, gpRole::Guard);
   gpLeaseGuardOptions options;
+  options.name_ = "guard-" + std::to_string(aIndex);
   options.service_ = gpServiceName(kService);
   options.dataCentre_ = gpDataCentreName("a");
+  options.links_ = options_.links_;
   options.fence_ = WallClockMs();
   options.shutdown_ = gpMillis(5000);
   process.guard_ = std::make_unique<gpLeaseGuardReducer>(options);
-  GiveGuard(aIndex, gpTimePassed{});
+  process.watched_.clear();
+  gpEntriesFound found;
   for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
-    At(now_ + gpMillis(Draw(100)),
-       [this, aIndex, entry] { Dial(aIndex, entry); });
+    found.entries_.push_back(AddressOf(entry));
   }
+  GiveGuard(aIndex, found);
 }
 
 void
@@ -225,11 +235,15 @@
       return;
     }
   }
+  if (!guard.alive_ || !guard.watched_.contains(aEntry)) {
+    return;
+  }
   if (!isReady) {
-    if (guard.alive_) {
-      At(now_ + gpMillis(100),
-         [this, aGuard, aEntry] { Dial(aGuard, aEntry); });
-    }
+    At(now_ + gpMillis(100), [this, aGuard, aEntry] { Dial(aGuard, aEntry); });
+    AtProcess(guard, now_, [this, aGuard, aEntry] {
+      GiveGuard(aGuard,
+                gpDialFailed{ AddressOf(aEntry), gpErrorCode::ConnectRefused });
+    });
     return;
   }
   const std::uint64_t id = ++lastLink_;
@@ -281,6 +295,10 @@
          [this, guard = aProcess.index_, entry = links_.at(id).entry_] {
            Dial(guard, entry);
          });
+    } else if (const auto* watch = std::get_if<gpWatchAddress>(&effect)) {
+      CarryWatch(aProcess, EntryAt(watch->address_));
+    } else if (const auto* unwatch = std::get_if<gpUnwatchAddress>(&effect)) {
+      CarryUnwatch(aProcess, EntryAt(unwatch->address_));
     } else if (const auto* wake = std::get_if<gpWakeAt>(&effect)) {
       aProcess.wakeAt_ = wake->when_;
       AtProcess(aProcess, wake->when_, [this, &aProcess, when = wake->when_] {
@@ -305,6 +323,36 @@
   }
 }
 
+void
+gpLeaseHistory::CarryWatch(Process& aProcess, std::size_t aEntry)
+{
+  if (aProcess.guard_ == nullptr) {
+    return; // entries aren't linked with each other here
+  }
+  aProcess.watched_.insert(aEntry);
+  At(now_ + gpMillis(1 + Draw(100)),
+     [this, guard = aProcess.index_, aEntry] { Dial(guard, aEntry); });
+}
+
+void
+gpLeaseHistory::CarryUnwatch(Process& aProcess, std::size_t aEntry)
+{
+  if (aProcess.guard_ == nullptr) {
+    return;
+  }
+  aProcess.watched_.erase(aEntry);
+  for (auto& [id, link] : links_) {
+    const bool isOurs = link.guard_ == aProcess.index_ &&
+                        link.entry_ == aEntry &&
+                        link.guardLife_ == aProcess.life_;
+    if (isOurs && std::exchange(link.open_[0], false)) {
+      ++moves_;
+      At(now_ + DrawLatency(),
+         [this, id = id] { LoseEnd(id, 1, gpErrorCode::LinkClosed); });
+    }
+  }
+}
+
 void
 gpLeaseHistory::CarrySend(Process& aProcess, gpSend& aSend)
 {
--- a/Tests/Lease/gpLeaseHistory.h
+++ b/Tests/Lease/gpLeaseHistory.h
@@ -22,6 +22,8 @@
   std::uint64_t seed_ = 1;
   std::size_t entries_ = 2;
   std::size_t guards_ = 3;
+  /// Entries that a guard links with.
+  std::size_t links_ = 8;
   /// Time over which callers submit jobs and faults happen.
   gpMillis length_{ 6000 };
   /// Mean pause between faults; 0 for none.
@@ -51,6 +53,8 @@
   std::size_t CountCompleted() const { return completed_; }
   std::size_t CountRefused() const { return refused_; }
   std::size_t CountStarts() const { return starts_; }
+  /// Links that guards gave up for others.
+  std::size_t CountMoves() const { return moves_; }
 
 private:
   struct Process
@@ -64,6 +68,8 @@
     bool alive_ = false;
     gpTime frozenUntil_;
     gpTime wakeAt_;
+    /// Entries that a guard keeps dialing.
+    std::set<std::size_t> watched_;
   };
   struct Link
   {
@@ -102,6 +108,8 @@
   std::uint64_t WallClockMs() const;
   /// A process begins a new life.
   void Begin(Process& aProcess, std::size_t aIndex, gpRole aRole);
+  static gpAddress AddressOf(std::size_t aEntry);
+  static std::size_t EntryAt(const gpAddress& aAddress);
   void StartEntry(std::size_t aIndex);
   void StartGuard(std::size_t aIndex);
   void StartTarget(std::size_t aGuard);
@@ -112,6 +120,8 @@
   template<typename Input>
   void GiveGuard(std::size_t aIndex, Input aInput);
   void CarryOut(Process& aProcess, std::vector<gpLeaseEffect> aEffects);
+  void CarryWatch(Process& aProcess, std::size_t aEntry);
+  void CarryUnwatch(Process& aProcess, std::size_t aEntry);
   void CarrySend(Process& aProcess, gpSend& aSend);
   void CarryStart(std::size_t aGuard, const gpStartRun& aStart);
   void CarryStop(std::size_t aGuard, const gpStopRun& aStop);
@@ -165,4 +175,5 @@
   std::size_t completed_ = 0;
   std::size_t refused_ = 0;
   std::size_t starts_ = 0;
+  std::size_t moves_ = 0;
 };
--- /dev/null
+++ b/Tests/Lease/testEntryFinder.cxx
@@ -0,0 +1,324 @@
+#define BOOST_TEST_MODULE gpEntryFinder
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
+#include "gpEntryFinder.h"
+#include "gpEntryRanking.h"
+
+namespace {
+
+constexpr std::size_t kLinks = 8;
+constexpr std::size_t kDataCentres = 5;
+constexpr gpMillis kStep{ 50 };
+
+gpKnownEntry
+MakeEntry(std::size_t aIndex, std::uint32_t aMilliCores = 250)
+{
+  return { gpAddress("10.0.0." + std::to_string(aIndex) + ":7000"),
+           gpDataCentreName("dc-" + std::to_string(aIndex % kDataCentres)),
+           aMilliCores };
+}
+
+std::map<gpAddress, gpKnownEntry>
+MakeFleet(std::size_t aCount)
+{
+  std::map<gpAddress, gpKnownEntry> fleet;
+  for (std::size_t index = 0; index < aCount; ++index) {
+    const gpKnownEntry entry = MakeEntry(index);
+    fleet.emplace(entry.address_, entry);
+  }
+  return fleet;
+}
+
+/// The entries that so many guards choose, with the number of guards of each.
+std::map<gpAddress, std::size_t>
+CountChoices(const std::map<gpAddress, gpKnownEntry>& aFleet,
+             std::size_t aGuards)
+{
+  std::map<gpAddress, std::size_t> choices;
+  for (std::size_t guard = 0; guard < aGuards; ++guard) {
+    auto order =
+      gpRankEntries("guard-" + std::to_string(guard), aFleet, kLinks);
+    order.resize(std::min(order.size(), kLinks));
+    for (const gpAddress& entry : order) {
+      ++choices[entry];
+    }
+  }
+  return choices;
+}
+
+/// A guard's finder in a world in which some entries can be reached.
+class World
+{
+public:
+  explicit World(std::size_t aEntries, std::size_t aSeeds = 3)
+  {
+    std::vector<gpAddress> seeds;
+    for (std::size_t index = 0; index < aEntries; ++index) {
+      const gpKnownEntry entry = MakeEntry(index);
+      up_.insert(entry.address_);
+      entries_.push_back(entry);
+      if (index < aSeeds) {
+        seeds.push_back(entry.address_);
+      }
+    }
+    finder_.Keep(seeds);
+  }
+
+  void Pass(gpMillis aTime)
+  {
+    for (const gpTime end = now_ + aTime; now_ < end; now_ += kStep) {
+      Step();
+    }
+  }
+
+  void Fail(const gpAddress& aEntry)
+  {
+    up_.erase(aEntry);
+    for (const auto& [link, entry] : std::map(finder_.GetLinks())) {
+      if (entry == aEntry) {
+        finder_.OnLost(link, now_);
+      }
+    }
+  }
+
+  std::set<gpAddress> Linked() const
+  {
+    std::set<gpAddress> linked;
+    for (const auto& [link, entry] : finder_.GetLinks()) {
+      linked.insert(entry);
+    }
+    return linked;
+  }
+
+  gpEntryFinder finder_{ { {}, "guard-1", kLinks } };
+  gpTime now_{ gpMillis(1000) };
+  std::set<gpAddress> up_;
+  std::set<gpAddress> watched_;
+  std::size_t dials_ = 0;
+  std::size_t mostWatched_ = 0;
+  std::size_t leastLinked_ = 0;
+
+private:
+  void Step()
+  {
+    gpLeaseEffects out;
+    finder_.Update(now_, out);
+    for (const gpLinkId link : finder_.ListSurplus(now_)) {
+      finder_.Release(link, out);
+    }
+    for (const gpLeaseEffect& effect : out.Take()) {
+      if (const auto* watch = std::get_if<gpWatchAddress>(&effect)) {
+        watched_.insert(watch->address_);
+      } else if (const auto* drop = std::get_if<gpUnwatchAddress>(&effect)) {
+        watched_.erase(drop->address_);
+      }
+    }
+    Dial();
+    mostWatched_ = std::max(mostWatched_, watched_.size());
+    leastLinked_ = std::min(leastLinked_, Linked().size());
+  }
+
+  void Dial()
+  {
+    const std::set<gpAddress> linked = Linked();
+    for (const gpAddress& entry : watched_) {
+      if (linked.contains(entry)) {
+        continue;
+      }
+      ++dials_;
+      if (up_.contains(entry)) {
+        finder_.OnLinked(entry, gpLinkId(++lastLink_), now_);
+        finder_.Hear(entries_);
+      } else {
+        finder_.OnDialFailed(entry, now_);
+      }
+    }
+  }
+
+  std::vector<gpKnownEntry> entries_;
+  std::uint64_t lastLink_ = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(LinksOfALargeFleetAreSpreadEvenly)
+{
+  const auto choices = CountChoices(MakeFleet(55), 240);
+  BOOST_TEST(choices.size() == 55U);
+  for (const auto& [entry, guards] : choices) {
+    // 240 x 8 / 55 = 35 on average.
+    BOOST_TEST(guards > 12U);
+    BOOST_TEST(guards < 70U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LargeEntriesGetMoreLinks)
+{
+  std::map<gpAddress, gpKnownEntry> fleet;
+  for (std::size_t index = 0; index < 50; ++index) {
+    const gpKnownEntry entry = MakeEntry(index, index % 2 == 0 ? 90 : 500);
+    fleet.emplace(entry.address_, entry);
+  }
+  std::size_t small = 0;
+  std::size_t large = 0;
+  for (const auto& [entry, guards] : CountChoices(fleet, 500)) {
+    (fleet.at(entry).milliCores_ == 90 ? small : large) += guards;
+  }
+  BOOST_TEST(large > small * 3 / 2);
+  BOOST_TEST(large < small * 4);
+}
+
+BOOST_AUTO_TEST_CASE(TheLossOfADataCentreLeavesEachGuardHalfOfItsLinks)
+{
+  const auto fleet = MakeFleet(55);
+  for (std::size_t guard = 0; guard < 240; ++guard) {
+    auto order =
+      gpRankEntries("guard-" + std::to_string(guard), fleet, kLinks);
+    order.resize(kLinks);
+    std::map<gpDataCentreName, std::size_t> links;
+    for (const gpAddress& entry : order) {
+      BOOST_TEST(++links[fleet.at(entry).dataCentre_] <= kLinks / 2);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(OneEntryMoreMovesFewLinks)
+{
+  const auto fleet = MakeFleet(54);
+  auto grown = fleet;
+  const gpKnownEntry added = MakeEntry(54);
+  grown.emplace(added.address_, added);
+  std::size_t moved = 0;
+  for (std::size_t guard = 0; guard < 240; ++guard) {
+    const std::string name = "guard-" + std::to_string(guard);
+    auto before = gpRankEntries(name, fleet, kLinks);
+    auto after = gpRankEntries(name, grown, kLinks);
+    before.resize(kLinks);
+    after.resize(kLinks);
+    for (const gpAddress& entry : after) {
+      const bool isNew =
+        std::find(before.begin(), before.end(), entry) == before.end();
+      moved += isNew ? 1 : 0;
+    }
+  }
+  // Those of the new entry, and a few to keep data centres apart.
+  BOOST_TEST(moved > 0U);
+  BOOST_TEST(moved < 240U * kLinks / 54 * 2);
+}
+
+BOOST_AUTO_TEST_CASE(AGuardLinksWithAFewOfManyEntries)
+{
+  World world(55);
+  world.Pass(gpMillis(3000));
+  BOOST_TEST(world.Linked().size() == kLinks);
+  BOOST_TEST(world.watched_.size() == kLinks);
+  BOOST_TEST(world.mostWatched_ <= kLinks + 3);
+}
+
+BOOST_AUTO_TEST_CASE(AGuardLinksWithAllOfFewEntries)
+{
+  World world(3);
+  world.Pass(gpMillis(3000));
+  BOOST_TEST(world.Linked().size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryOutOfReachIsReplacedAndComesBack)
+{
+  World world(55);
+  world.Pass(gpMillis(3000));
+  const std::set<gpAddress> before = world.Linked();
+  const gpAddress lost = *before.begin();
+  world.Fail(lost);
+  world.Pass(gpMillis(1000));
+  BOOST_TEST(world.Linked().size() == kLinks);
+  BOOST_TEST(!world.Linked().contains(lost));
+  world.up_.insert(lost);
+  world.leastLinked_ = kLinks;
+  world.Pass(gpMillis(3000));
+  BOOST_TEST((world.Linked() == before));
+  // The replacement goes only when the former entry is linked again.
+  BOOST_TEST(world.leastLinked_ == kLinks);
+}
+
+BOOST_AUTO_TEST_CASE(TheLossOfHalfOfTheEntriesLeavesNoGuardAlone)
+{
+  World world(55);
+  world.Pass(gpMillis(3000));
+  for (std::size_t index = 0; index < 55; index += 2) {
+    world.Fail(MakeEntry(index).address_);
+  }
+  world.Pass(gpMillis(2000));
+  BOOST_TEST(world.Linked().size() == kLinks);
+  BOOST_TEST(world.mostWatched_ <= 3 * kLinks + 3);
+}
+
+BOOST_AUTO_TEST_CASE(EntriesLongOutOfReachAreTriedAtAPaceAndForgotten)
+{
+  World world(12);
+  world.Pass(gpMillis(3000));
+  const gpAddress lost = *world.Linked().rbegin();
+  world.Fail(lost);
+  world.Pass(gpMillis(12000));
+  world.dials_ = 0;
+  world.Pass(gpMillis(20000));
+  BOOST_TEST(world.dials_ > 0U);
+  BOOST_TEST(world.dials_ < 50U);
+  const auto isNamed = [&] {
+    const gpEntryNews news = world.finder_.MakeNews(world.now_);
+    return std::any_of(
+      news.entries_.begin(), news.entries_.end(), [&](const auto& aEntry) {
+        return aEntry.address_ == lost;
+      });
+  };
+  BOOST_TEST(!isNamed());
+  world.Pass(gpMillis(40000));
+  world.dials_ = 0;
+  world.Pass(gpMillis(5000));
+  BOOST_TEST(world.dials_ == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AGuardThatIsCutOffFindsItsEntriesAgain)
+{
+  World world(55);
+  world.Pass(gpMillis(3000));
+  const std::set<gpAddress> up = world.up_;
+  for (const gpAddress& entry : up) {
+    world.Fail(entry);
+  }
+  world.Pass(gpMillis(90000));
+  BOOST_TEST(world.Linked().empty());
+  BOOST_TEST(world.watched_.size() <= 3 * kLinks);
+  world.up_ = up;
+  world.Pass(gpMillis(3000));
+  BOOST_TEST(world.Linked().size() == kLinks);
+}
+
+BOOST_AUTO_TEST_CASE(APeerThatNamesTooManyEntriesIsBounded)
+{
+  gpEntryDirectory directory(gpAddress("10.0.0.1:7000"));
+  for (std::size_t index = 0; index < 3 * gpEntryDirectory::kMostEntries;
+       ++index) {
+    directory.Learn(
+      { gpAddress("entry-" + std::to_string(index)), {}, 0 });
+  }
+  BOOST_TEST(directory.GetAll().size() == gpEntryDirectory::kMostEntries);
+  BOOST_TEST(!directory.Learn({ gpAddress("10.0.0.1:7000"), {}, 0 }));
+  BOOST_TEST(!directory.Learn({}));
+}
+
+BOOST_AUTO_TEST_CASE(PeersThatDisagreeDontPassDetailsToAndFro)
+{
+  gpEntryDirectory directory((gpAddress()));
+  const gpAddress entry("10.0.0.1:7000");
+  BOOST_TEST(directory.Learn({ entry, {}, 0 }));
+  BOOST_TEST(directory.Learn({ entry, gpDataCentreName("dc-1"), 90 }));
+  BOOST_TEST(!directory.Learn({ entry, gpDataCentreName("dc-2"), 500 }));
+  BOOST_TEST(!directory.Learn({ entry, {}, 0 }));
+  BOOST_TEST(directory.TakeNews().size() == 1U);
+  BOOST_TEST(directory.TakeNews().empty());
+}
--- a/Tests/Lease/testLeaseEntry.cxx
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -87,7 +87,7 @@
   static gpLeaseEntryOptions Options()
   {
     gpLeaseEntryOptions options;
-    options.dataCentre_ = gpDataCentreName("dc-1");
+    options.self_.dataCentre_ = gpDataCentreName("dc-1");
     options.firstRun_ = 1;
     options.shutdown_ = kShutdown;
     return options;
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -94,10 +94,11 @@
   }
 
   gpTime now_{ gpMillis(1000) };
-  gpLeaseGuardReducer guard_{ gpLeaseGuardOptions{ kService,
-                                                   gpDataCentreName("dc-1"),
-                                                   1000,
-                                                   gpMillis(1000) } };
+  gpLeaseGuardReducer guard_{ { .name_ = "guard-1",
+                                .service_ = kService,
+                                .dataCentre_ = gpDataCentreName("dc-1"),
+                                .fence_ = 1,
+                                .shutdown_ = gpMillis(1000) } };
   std::vector<gpLeaseEffect> calls_;
 };
 
--- a/Tests/Lease/testLeaseHistories.cxx
+++ b/Tests/Lease/testLeaseHistories.cxx
@@ -15,18 +15,23 @@
   const std::uint64_t count = gpTestNumber("GP_HISTORY_COUNT", aDefaultCount);
   std::size_t starts = 0;
   std::size_t completed = 0;
+  std::size_t moves = 0;
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     aOptions.seed_ = seed;
     gpLeaseHistory history(aOptions);
     const std::vector<std::string> broken = history.Run();
     starts += history.CountStarts();
     completed += history.CountCompleted();
+    moves += history.CountMoves();
     if (!broken.empty()) {
       BOOST_FAIL(broken.front());
     }
   }
   BOOST_TEST_MESSAGE(count << " histories: " << starts << " starts, "
-                           << completed << " jobs complete");
+                           << completed << " jobs complete, " << moves
+                           << " links moved");
+  const bool hasSubsets = aOptions.links_ < aOptions.entries_;
+  BOOST_TEST((moves > 0) == hasSubsets);
   BOOST_TEST(starts > count);
   BOOST_TEST(completed > count);
 }
@@ -64,3 +69,15 @@
   options.targetCuts_ = true;
   RunHistories(options, 1000);
 }
+
+// Guards link with some of the entries only, and take others when these are
+// killed or frozen, and come back.
+BOOST_AUTO_TEST_CASE(HistoriesWithSubsetsOfEntriesKeepThePromises)
+{
+  gpLeaseHistoryOptions options;
+  options.entries_ = 6;
+  options.guards_ = 4;
+  options.links_ = 2;
+  options.length_ = gpMillis(5000);
+  RunHistories(options, 1000);
+}
--- a/Tests/Lease/testLeaseParts.cxx
+++ b/Tests/Lease/testLeaseParts.cxx
@@ -1,7 +1,6 @@
 #define BOOST_TEST_MODULE gpLeaseParts
 #include <boost/test/unit_test.hpp>
 
-#include "gpEntryFinder.h"
 #include "gpLeaseJobTable.h"
 #include "gpLeaseOverdue.h"
 #include "gpLeaseTimings.h"
@@ -218,23 +217,6 @@
   BOOST_TEST(session.IsConfirmed());
 }
 
-BOOST_AUTO_TEST_CASE(EntriesThatStayAwayAreForgotten)
-{
-  gpEntryFinder finder(gpAddress("self"));
-  gpLeaseEffects out;
-  finder.Hear({ gpAddress("self"), gpAddress("a") }, kNow, out);
-  BOOST_TEST(out.Take().size() == 1U);
-  finder.OnDialFailed(gpAddress("a"), kNow + gpMillis(1000), out);
-  BOOST_TEST(out.Take().empty());
-  finder.OnDialFailed(gpAddress("a"), kNow + gpMillis(20000), out);
-  BOOST_TEST(out.Take().size() == 1U);
-  // Those of the settings are kept.
-  finder.Keep({ gpAddress("b") }, kNow, out);
-  out.Take();
-  finder.OnDialFailed(gpAddress("b"), kNow + gpMillis(20000), out);
-  BOOST_TEST(out.Take().empty());
-}
-
 BOOST_AUTO_TEST_CASE(StepsWaitForTheStepsBeforeThem)
 {
   gpLeaseJobTable jobs;
--- a/Tests/Wire/gpSampleMessages.cxx
+++ b/Tests/Wire/gpSampleMessages.cxx
@@ -106,8 +106,11 @@
                          { "a", "r1-3" },
                          needs,
                          true },
-           gpRoomReport{ needs, 42 },
-           gpEntryAddresses{ { gpAddress("10.0.0.1:7000") } } };
+           gpRoomReport{ needs, 42, 5 },
+           gpEntryNews{ { { gpAddress("10.0.0.1:7000"),
+                            gpDataCentreName("dc-1"),
+                            250 },
+                          { gpAddress("10.0.0.2:7000"), {}, 0 } } } };
 }
 
 } // namespace
@@ -145,6 +148,6 @@
     gpRunsHeld{},
     gpTargetNews{},
     gpRoomReport{},
-    gpEntryAddresses{},
+    gpEntryNews{},
   };
 }
