Lease: Measure a target's speed at its guard

Cause: an entry learned the speed of each target from its own runs.

Ruled out: that entries tell each other what they measured (more messages, and means of means). The guard sees the runs of all entries already.

Change: gpTargetSpeed at the guard, the estimate travels with the order, the slowness with the free room.

--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -226,8 +226,7 @@
   if (aRecord.value_.empty()) {
     return;
   }
-  const absl::StatusOr<gpKnownEntry> entry =
-    gpParseEntryRecord(aRecord.value_);
+  const absl::StatusOr<gpKnownEntry> entry = gpParseEntryRecord(aRecord.value_);
   if (entry.ok()) {
     Reduce(gpMessageReceived{ gpLinkId(), gpEntryNews{ { *entry } } });
   } else {
--- a/Source/Lease/gpEntryLinks.cxx
+++ b/Source/Lease/gpEntryLinks.cxx
@@ -98,7 +98,7 @@
 
 void
 gpEntryLinks::Tell(const gpTargetNews& aNews,
-                   const gpResources& aFree,
+                   const gpRoomReport& aRoom,
                    gpTime aNow,
                    gpLeaseEffects& aOut)
 {
@@ -113,10 +113,12 @@
       aOut.Send(id, std::move(news));
     }
     const bool mayTell = std::exchange(link.sentNow_, false) || isTime;
-    if (isNews || (mayTell && aFree != link.toldFree_)) {
-      link.toldFree_ = aFree;
-      aOut.Send(
-        id, gpRoomReport{ aFree, link.runsSeen_, CountSharers(id, aNow) });
+    if (isNews || (mayTell && aRoom.free_ != link.toldFree_)) {
+      link.toldFree_ = aRoom.free_;
+      gpRoomReport room = aRoom;
+      room.runsSeen_ = link.runsSeen_;
+      room.sharers_ = CountSharers(id, aNow);
+      aOut.Send(id, room);
     }
   }
   if (isTime) {
--- a/Source/Lease/gpEntryLinks.h
+++ b/Source/Lease/gpEntryLinks.h
@@ -36,7 +36,7 @@
   void Report(gpIncarnation aEntry, gpRunReport aReport, gpLeaseEffects& aOut);
   /// Tells the entries what they don't know yet.
   void Tell(const gpTargetNews& aNews,
-            const gpResources& aFree,
+            const gpRoomReport& aRoom,
             gpTime aNow,
             gpLeaseEffects& aOut);
   /// When Tell is to be called again; max if nothing is left to be told.
--- a/Source/Lease/gpEntryRanking.cxx
+++ b/Source/Lease/gpEntryRanking.cxx
@@ -52,18 +52,18 @@
   for (const auto& [address, entry] : aEntries) {
     ranked.push_back({ ScoreOf(aSelf, entry), &entry });
   }
-  std::sort(
-    ranked.begin(), ranked.end(), [](const Ranked& aLeft, const Ranked& aRight) {
-      return aLeft.score_ > aRight.score_;
-    });
+  std::sort(ranked.begin(),
+            ranked.end(),
+            [](const Ranked& aLeft, const Ranked& aRight) {
+              return aLeft.score_ > aRight.score_;
+            });
   const std::size_t mostOfOne = (aCount + 1) / 2;
   std::map<gpDataCentreName, std::size_t> taken;
   std::vector<gpAddress> order;
   std::vector<gpAddress> later;
   for (const Ranked& each : ranked) {
     const gpDataCentreName& dataCentre = each.entry_->dataCentre_;
-    const bool isFull = order.size() < aCount &&
-                        !dataCentre.value_.empty() &&
+    const bool isFull = order.size() < aCount && !dataCentre.value_.empty() &&
                         taken[dataCentre] >= mostOfOne;
     if (isFull) {
       later.push_back(each.entry_->address_);
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -233,12 +233,10 @@
   }
   const auto [job, index] = jobs_.FindRun(aMessage.run_);
   if (job == nullptr || job->tasks_[index].guard_ != guard->second) {
-    board_.NoteEnded(guard->second, "", aMessage, gpMillis(0), now_);
+    board_.NoteEnded(guard->second, "", aMessage, now_);
     return;
   }
-  const gpLeaseTask& task = job->tasks_[index];
-  board_.NoteEnded(
-    guard->second, job->job_.id_, aMessage, job->GetStep(task).estimate_, now_);
+  board_.NoteEnded(guard->second, job->job_.id_, aMessage, now_);
   WriteRun(gpEventKind::TaskEnded,
            *job,
            aMessage.run_,
@@ -324,8 +322,7 @@
 }
 
 void
-gpLeaseEntryReducer::OnMessage(gpLinkId /*aLink*/,
-                               const gpEntryNews& aMessage)
+gpLeaseEntryReducer::OnMessage(gpLinkId /*aLink*/, const gpEntryNews& aMessage)
 {
   finder_.Hear(aMessage.entries_);
 }
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -1,6 +1,7 @@
 #include "gpLeaseGuardReducer.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "gpLeaseLines.h"
@@ -36,7 +37,7 @@
   RepeatStops();
   Look();
   UpdateLinks();
-  links_.Tell(MakeNews(), runs_.GetFree(), now_, out_);
+  links_.Tell(MakeNews(), MakeRoom(), now_, out_);
   ContinueShutdown();
   ScheduleWake();
   return out_.Take();
@@ -166,8 +167,7 @@
 }
 
 void
-gpLeaseGuardReducer::OnMessage(gpLinkId /*aLink*/,
-                               const gpEntryNews& aMessage)
+gpLeaseGuardReducer::OnMessage(gpLinkId /*aLink*/, const gpEntryNews& aMessage)
 {
   finder_.Hear(aMessage.entries_);
 }
@@ -193,6 +193,7 @@
   run.id_ = aRun;
   run.owner_ = links_.GetEntry(aLink);
   run.needs_ = aOrder.needs_;
+  run.estimate_ = aOrder.estimate_;
   run.orderedAt_ = now_;
   if (!runs_.Add(std::move(run))) {
     Refuse(aLink, aRun, gpRunEnd::Outdated);
@@ -252,8 +253,11 @@
     return;
   }
   WriteRun(gpEventKind::TaskEnded, aRun, gpRunEndName(aEnd));
+  const gpMicros time = now_ - run->orderedAt_;
+  if (aEnd == gpRunEnd::Done) {
+    speed_.NoteDone(run->estimate_, time);
+  }
   if (run->owner_.has_value()) {
-    const gpMicros time = now_ - run->orderedAt_;
     links_.Report(*run->owner_, { aRun, aEnd, time }, out_);
   }
   runs_.Remove(aRun);
@@ -294,6 +298,7 @@
     FinishAll();
   }
   seenEnds_ = 0;
+  speed_.Restart();
   looks_.Restart(now_);
 }
 
@@ -479,6 +484,17 @@
   return news;
 }
 
+gpRoomReport
+gpLeaseGuardReducer::MakeRoom() const
+{
+  constexpr double kPermille = 1000;
+  gpRoomReport room;
+  room.free_ = runs_.GetFree();
+  room.slownessPermille_ =
+    static_cast<std::uint32_t>(std::lround(speed_.GetSlowness() * kPermille));
+  return room;
+}
+
 void
 gpLeaseGuardReducer::ContinueShutdown()
 {
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -11,6 +11,7 @@
 #include "gpRunTable.h"
 #include "gpStrangerRuns.h"
 #include "gpTargetSession.h"
+#include "gpTargetSpeed.h"
 
 /** \class gpLeaseGuardOptions
  * \brief What a guard for best-effort jobs is told at its start.
@@ -101,6 +102,8 @@
   /// Looks at the target if it's time, which also renews its lease.
   void Look();
   gpTargetNews MakeNews() const;
+  /// What is the same for all entries.
+  gpRoomReport MakeRoom() const;
   void ContinueShutdown();
   void ScheduleWake();
   void WriteTarget(gpEventKind aKind, const std::string& aDetail);
@@ -118,6 +121,7 @@
   gpStrangerRuns strangers_;
   gpPendingStops stops_;
   gpLookSchedule looks_;
+  gpTargetSpeed speed_;
   std::uint64_t seenEnds_ = 0;
   gpTime lastEventAt_;
   gpTime wakeAt_;
--- a/Source/Lease/gpRunOrders.cxx
+++ b/Source/Lease/gpRunOrders.cxx
@@ -38,6 +38,7 @@
   gpRunOrder& order = orders_[Key{ aLink, aJob.id_, aStep }];
   order.spec_ = aJob.spec_;
   order.needs_ = aJob.steps_[aStep].needs_;
+  order.estimate_ = aJob.steps_[aStep].estimate_;
   order.runs_.push_back(aRun);
 }
 
--- a/Source/Lease/gpRunTable.h
+++ b/Source/Lease/gpRunTable.h
@@ -28,6 +28,8 @@
   /// The entry that ordered it; not set once nobody waits for it.
   std::optional<gpIncarnation> owner_;
   gpResources needs_;
+  /// What it's expected to take on a target of usual speed.
+  gpMillis estimate_{ 0 };
   gpRunPhase phase_ = gpRunPhase::Starting;
   gpTime orderedAt_;
   /// Since when a look at the target must show the run unless it's over; not
--- a/Source/Lease/gpTargetBoard.cxx
+++ b/Source/Lease/gpTargetBoard.cxx
@@ -6,13 +6,10 @@
 
 namespace {
 
-/// Least weight of the newest run in the mean of a target's slowness. Estimates
-/// are off by up to a half, and alike for all tasks of a job.
-constexpr double kNewestWeight = 0.05;
+constexpr double kPermille = 1000;
+/// Bounds of what a guard may tell of its target.
 constexpr double kLeastSlowness = 0.1;
 constexpr double kMostSlowness = 20.0;
-/// Estimates under this say little about speed.
-constexpr gpMillis kLeastEstimate{ 5 };
 /// A run that takes so many times what is expected of the target, and the
 /// pause, makes the target suspect. Estimates are off by up to a half.
 constexpr double kOverdueFactor = 4.0;
@@ -136,6 +133,8 @@
   view->reportedFree_ = aRoom.free_;
   view->reportedAt_ = aNow;
   view->sharers_ = std::max(aRoom.sharers_, 1U);
+  view->slowness_ = std::clamp(
+    aRoom.slownessPermille_ / kPermille, kLeastSlowness, kMostSlowness);
   while (!view->unreported_.empty() &&
          view->unreported_.front().first <= aRoom.runsSeen_) {
     view->unreported_.pop_front();
@@ -242,7 +241,6 @@
 gpTargetBoard::NoteEnded(gpIncarnation aGuard,
                          const std::string& aJob,
                          const gpRunReport& aReport,
-                         gpMillis aEstimate,
                          gpTime aNow)
 {
   gpTargetView* view = Find(aGuard);
@@ -254,20 +252,9 @@
     overdue != view->overdueAt_.end() && overdue->second < aNow;
   view->overdueAt_.erase(aReport.run_);
   switch (aReport.end_) {
-    case gpRunEnd::Done: {
+    case gpRunEnd::Done:
       view->health_.NoteSuccess();
-      if (aEstimate >= kLeastEstimate) {
-        const double ratio =
-          std::clamp(static_cast<double>(aReport.time_.count()) /
-                       static_cast<double>(gpMicros(aEstimate).count()),
-                     kLeastSlowness,
-                     kMostSlowness);
-        const double weight =
-          std::max(kNewestWeight, 1.0 / (++view->runsMeasured_ + 1));
-        view->slowness_ *= std::pow(ratio / view->slowness_, weight);
-      }
       return;
-    }
     case gpRunEnd::Failed:
       // A job that can never be done fails everywhere; it counts once.
       if (view->lastFailedJob_ != aJob) {
--- a/Source/Lease/gpTargetBoard.h
+++ b/Source/Lease/gpTargetBoard.h
@@ -30,11 +30,8 @@
   /// Needs of the ordered runs that no report takes into account yet, each with
   /// its number in the order of sending.
   std::deque<std::pair<std::uint64_t, gpResources>> unreported_;
-  /// Run time over estimate, as a geometric mean; under 1 is faster than
-  /// estimated.
+  /// Run time over estimate, as the guard measures it.
   double slowness_ = 1.0;
-  /// Runs that the mean is made of.
-  std::uint32_t runsMeasured_ = 0;
   gpTargetHealth health_;
   /// The job whose failure counted last against the target.
   std::string lastFailedJob_;
@@ -104,7 +101,6 @@
   void NoteEnded(gpIncarnation aGuard,
                  const std::string& aJob,
                  const gpRunReport& aReport,
-                 gpMillis aEstimate,
                  gpTime aNow);
 
   /// Whether a target of the service takes work.
--- a/Source/Model/gpRunMessages.h
+++ b/Source/Model/gpRunMessages.h
@@ -44,6 +44,8 @@
   std::string spec_;
   /// What each of the runs needs.
   gpResources needs_;
+  /// What each of them is expected to take on a target of usual speed.
+  gpMillis estimate_{ 0 };
   std::vector<gpRunId> runs_;
 
   bool operator==(const gpRunOrder&) const = default;
@@ -122,6 +124,8 @@
   /// Entries that share the target: the receiver, and others that ordered runs
   /// lately.
   std::uint32_t sharers_ = 1;
+  /// Run time over estimate at the target, in thousandths.
+  std::uint32_t slownessPermille_ = 1000;
 
   bool operator==(const gpRoomReport&) const = default;
 };
--- a/Source/Wire/gpWireRuns.cxx
+++ b/Source/Wire/gpWireRuns.cxx
@@ -87,7 +87,8 @@
   const auto spec = aBuilder.CreateString(aIn.spec_);
   const auto needs = WriteResources(aBuilder, aIn.needs_);
   const auto runs = gpWriteTables(aBuilder, aIn.runs_);
-  return gpWire::CreateRunOrder(aBuilder, spec, needs, runs);
+  return gpWire::CreateRunOrder(
+    aBuilder, spec, needs, aIn.estimate_.count(), runs);
 }
 
 bool
@@ -95,6 +96,7 @@
 {
   return aReader.Read(aIn->spec(), aOut.spec_) &&
          ReadResources(aReader, aIn->needs(), aOut.needs_) &&
+         aReader.ReadDuration(aIn->estimate_ms(), aOut.estimate_) &&
          aReader.ReadTables(aIn->runs(), aOut.runs_);
 }
 
@@ -172,7 +174,7 @@
 {
   const auto free = WriteResources(aBuilder, aIn.free_);
   return gpWire::CreateRoomReport(
-    aBuilder, free, aIn.runsSeen_, aIn.sharers_);
+    aBuilder, free, aIn.runsSeen_, aIn.sharers_, aIn.slownessPermille_);
 }
 
 bool
@@ -182,6 +184,7 @@
 {
   aOut.runsSeen_ = aIn->runs_seen();
   aOut.sharers_ = aIn->sharers();
+  aOut.slownessPermille_ = aIn->slowness_permille();
   return ReadResources(aReader, aIn->free(), aOut.free_);
 }
 
--- a/Source/Wire/gpWireRuns.h
+++ b/Source/Wire/gpWireRuns.h
@@ -49,8 +49,7 @@
            gpRoomReport& aOut);
 
 flatbuffers::Offset<gpWire::EntryNews>
-gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder,
-            const gpEntryNews& aIn);
+gpWriteWire(flatbuffers::FlatBufferBuilder& aBuilder, const gpEntryNews& aIn);
 bool
 gpReadWire(gpWireReader& aReader,
            const gpWire::EntryNews* aIn,
--- a/Source/Wire/gpWire_generated.h
+++ b/Source/Wire/gpWire_generated.h
@@ -3431,7 +3431,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SPEC = 4,
     VT_NEEDS = 6,
-    VT_RUNS = 8
+    VT_ESTIMATE_MS = 8,
+    VT_RUNS = 10
   };
   const flatbuffers::String *spec() const {
     return GetPointer<const flatbuffers::String *>(VT_SPEC);
@@ -3439,6 +3440,9 @@
   const gpWire::Resources *needs() const {
     return GetPointer<const gpWire::Resources *>(VT_NEEDS);
   }
+  int64_t estimate_ms() const {
+    return GetField<int64_t>(VT_ESTIMATE_MS, 0);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>> *runs() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>> *>(VT_RUNS);
   }
@@ -3448,6 +3452,7 @@
            verifier.VerifyString(spec()) &&
            VerifyOffsetRequired(verifier, VT_NEEDS) &&
            verifier.VerifyTable(needs()) &&
+           VerifyField<int64_t>(verifier, VT_ESTIMATE_MS, 8) &&
            VerifyOffsetRequired(verifier, VT_RUNS) &&
            verifier.VerifyVector(runs()) &&
            verifier.VerifyVectorOfTables(runs()) &&
@@ -3465,6 +3470,9 @@
   void add_needs(flatbuffers::Offset<gpWire::Resources> needs) {
     fbb_.AddOffset(RunOrder::VT_NEEDS, needs);
   }
+  void add_estimate_ms(int64_t estimate_ms) {
+    fbb_.AddElement<int64_t>(RunOrder::VT_ESTIMATE_MS, estimate_ms, 0);
+  }
   void add_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>>> runs) {
     fbb_.AddOffset(RunOrder::VT_RUNS, runs);
   }
@@ -3486,8 +3494,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> spec = 0,
     flatbuffers::Offset<gpWire::Resources> needs = 0,
+    int64_t estimate_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>>> runs = 0) {
   RunOrderBuilder builder_(_fbb);
+  builder_.add_estimate_ms(estimate_ms);
   builder_.add_runs(runs);
   builder_.add_needs(needs);
   builder_.add_spec(spec);
@@ -3503,6 +3513,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *spec = nullptr,
     flatbuffers::Offset<gpWire::Resources> needs = 0,
+    int64_t estimate_ms = 0,
     const std::vector<flatbuffers::Offset<gpWire::RunId>> *runs = nullptr) {
   auto spec__ = spec ? _fbb.CreateString(spec) : 0;
   auto runs__ = runs ? _fbb.CreateVector<flatbuffers::Offset<gpWire::RunId>>(*runs) : 0;
@@ -3510,6 +3521,7 @@
       _fbb,
       spec__,
       needs,
+      estimate_ms,
       runs__);
 }
 
@@ -3821,7 +3833,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FREE = 4,
     VT_RUNS_SEEN = 6,
-    VT_SHARERS = 8
+    VT_SHARERS = 8,
+    VT_SLOWNESS_PERMILLE = 10
   };
   const gpWire::Resources *free() const {
     return GetPointer<const gpWire::Resources *>(VT_FREE);
@@ -3832,12 +3845,16 @@
   uint32_t sharers() const {
     return GetField<uint32_t>(VT_SHARERS, 0);
   }
+  uint32_t slowness_permille() const {
+    return GetField<uint32_t>(VT_SLOWNESS_PERMILLE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_FREE) &&
            verifier.VerifyTable(free()) &&
            VerifyField<uint64_t>(verifier, VT_RUNS_SEEN, 8) &&
            VerifyField<uint32_t>(verifier, VT_SHARERS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SLOWNESS_PERMILLE, 4) &&
            verifier.EndTable();
   }
 };
@@ -3855,6 +3872,9 @@
   void add_sharers(uint32_t sharers) {
     fbb_.AddElement<uint32_t>(RoomReport::VT_SHARERS, sharers, 0);
   }
+  void add_slowness_permille(uint32_t slowness_permille) {
+    fbb_.AddElement<uint32_t>(RoomReport::VT_SLOWNESS_PERMILLE, slowness_permille, 0);
+  }
   explicit RoomReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3871,9 +3891,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<gpWire::Resources> free = 0,
     uint64_t runs_seen = 0,
-    uint32_t sharers = 0) {
+    uint32_t sharers = 0,
+    uint32_t slowness_permille = 0) {
   RoomReportBuilder builder_(_fbb);
   builder_.add_runs_seen(runs_seen);
+  builder_.add_slowness_permille(slowness_permille);
   builder_.add_sharers(sharers);
   builder_.add_free(free);
   return builder_.Finish();
--- a/Tests/Lease/testEntryFinder.cxx
+++ b/Tests/Lease/testEntryFinder.cxx
@@ -177,8 +177,7 @@
 {
   const auto fleet = MakeFleet(55);
   for (std::size_t guard = 0; guard < 240; ++guard) {
-    auto order =
-      gpRankEntries("guard-" + std::to_string(guard), fleet, kLinks);
+    auto order = gpRankEntries("guard-" + std::to_string(guard), fleet, kLinks);
     order.resize(kLinks);
     std::map<gpDataCentreName, std::size_t> links;
     for (const gpAddress& entry : order) {
@@ -303,8 +302,7 @@
   gpEntryDirectory directory(gpAddress("10.0.0.1:7000"));
   for (std::size_t index = 0; index < 3 * gpEntryDirectory::kMostEntries;
        ++index) {
-    directory.Learn(
-      { gpAddress("entry-" + std::to_string(index)), {}, 0 });
+    directory.Learn({ gpAddress("entry-" + std::to_string(index)), {}, 0 });
   }
   BOOST_TEST(directory.GetAll().size() == gpEntryDirectory::kMostEntries);
   BOOST_TEST(!directory.Learn({ gpAddress("10.0.0.1:7000"), {}, 0 }));
--- a/Tests/Lease/testLeaseParts.cxx
+++ b/Tests/Lease/testLeaseParts.cxx
@@ -8,6 +8,7 @@
 #include "gpRunTable.h"
 #include "gpTargetBoard.h"
 #include "gpTargetSession.h"
+#include "gpTargetSpeed.h"
 
 namespace {
 
@@ -34,14 +35,10 @@
     news.capacity_ = Cores(64000);
     news.takesWork_ = true;
     board_.OnNews(guard, news);
-    board_.OnRoom(guard, { Cores(aFree), 0 }, kNow);
-    const gpMillis estimate(100);
-    for (int run = 0; run < 200; ++run) {
-      gpRunReport report;
-      report.run_ = { "warm", static_cast<std::uint64_t>(run) };
-      report.time_ = gpMicros(static_cast<std::int64_t>(1e5 * aSlowness));
-      board_.NoteEnded(guard, "warm", report, estimate, kNow);
-    }
+    gpRoomReport room;
+    room.free_ = Cores(aFree);
+    room.slownessPermille_ = static_cast<std::uint32_t>(1000 * aSlowness);
+    board_.OnRoom(guard, room, kNow);
   }
 
   std::optional<gpIncarnation> Choose(gpMillis aEstimate) const
@@ -66,6 +63,44 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(AGuardLearnsTheSpeedOfItsTarget)
+{
+  gpTargetSpeed speed;
+  BOOST_TEST(speed.GetSlowness() == 1.0);
+  // Estimates are off by up to a half, both ways.
+  for (const std::int64_t time : { 90, 210, 140, 100, 200, 150, 130, 180 }) {
+    speed.NoteDone(gpMillis(100), gpMillis(time));
+  }
+  BOOST_TEST(speed.GetSlowness() > 1.2);
+  BOOST_TEST(speed.GetSlowness() < 1.6);
+  speed.NoteDone(gpMillis(0), gpMillis(500));
+  BOOST_TEST(speed.GetSlowness() < 1.6);
+  speed.Restart();
+  BOOST_TEST(speed.GetSlowness() == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryPlacesByTheSpeedThatTheGuardTells)
+{
+  Board board;
+  board.Add(1, 1.4, 64000);
+  board.Add(2, 0.6, 64000);
+  BOOST_CHECK(board.Choose(gpMillis(1200)) == gpIncarnation(2));
+  // Nonsense of a faulty guard is cut to what is possible.
+  board.Add(3, 0.0, 64000);
+  BOOST_TEST(board.board_.Find(gpIncarnation(3))->slowness_ > 0);
+}
+
+BOOST_AUTO_TEST_CASE(SharersDivideWhatATargetCanDo)
+{
+  Board board;
+  board.Add(1, 1.0, 64000);
+  const double alone = board.board_.GetShare(kService);
+  gpRoomReport room;
+  room.sharers_ = 4;
+  board.board_.OnRoom(gpIncarnation(1), room, kNow);
+  BOOST_TEST(board.board_.GetShare(kService) == alone / 4);
+}
+
 BOOST_AUTO_TEST_CASE(ShortTasksLeaveFastTargetsFree)
 {
   Board board;
@@ -120,12 +155,11 @@
   failed.end_ = gpRunEnd::Failed;
   // One job that can never be done says nothing of the target.
   for (int run = 0; run < 5; ++run) {
-    board.board_.NoteEnded(
-      gpIncarnation(1), "poison", failed, gpMillis(50), kNow);
+    board.board_.NoteEnded(gpIncarnation(1), "poison", failed, kNow);
   }
   BOOST_CHECK(board.Choose(gpMillis(50)).has_value());
   for (const char* job : { "a", "b", "c" }) {
-    board.board_.NoteEnded(gpIncarnation(1), job, failed, gpMillis(50), kNow);
+    board.board_.NoteEnded(gpIncarnation(1), job, failed, kNow);
   }
   BOOST_CHECK(!board.Choose(gpMillis(50)).has_value());
 }
--- a/Tests/Wire/gpSampleMessages.cxx
+++ b/Tests/Wire/gpSampleMessages.cxx
@@ -97,7 +97,7 @@
 {
   const gpRunId run{ "5c0e7a21d94b36f8.0.1.17", 1767773015591U };
   const gpResources needs{ 6200, 64, 1 };
-  return { gpRunOrder{ "spec", needs, { run, { "other", 2 } } },
+  return { gpRunOrder{ "spec", needs, gpMillis(60), { run, { "other", 2 } } },
            gpRunCancel{ { run } },
            gpRunReport{ run, gpRunEnd::Outdated, gpMicros(81234) },
            gpRunsHeld{ { run, run } },
@@ -106,11 +106,10 @@
                          { "a", "r1-3" },
                          needs,
                          true },
-           gpRoomReport{ needs, 42, 5 },
-           gpEntryNews{ { { gpAddress("10.0.0.1:7000"),
-                            gpDataCentreName("dc-1"),
-                            250 },
-                          { gpAddress("10.0.0.2:7000"), {}, 0 } } } };
+           gpRoomReport{ needs, 42, 5, 1430 },
+           gpEntryNews{
+             { { gpAddress("10.0.0.1:7000"), gpDataCentreName("dc-1"), 250 },
+               { gpAddress("10.0.0.2:7000"), {}, 0 } } } };
 }
 
 } // namespace
