--- a/Source/Lease/gpEntryFinder.cxx
+++ b/Source/Lease/gpEntryFinder.cxx
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gpEntryRanking.h"
+#include "gpLeaseLines.h"
 
 namespace {
 
@@ -190,6 +191,9 @@
     if (dial->second.isWatched_) {
       aOut.Add(gpUnwatchAddress{ entry });
     }
+    aOut.Write(gpPlainLine(gpEventKind::MemberRemoved,
+                           entry.value_ + " not reached for " +
+                             gpMillisText(kForgetAfter)));
     directory_.Forget(entry);
     isOrderStale_ = true;
     dial = dials_.erase(dial);
@@ -227,6 +231,8 @@
   }
   dials_.erase(found->second);
   aOut.Add(gpUnwatchAddress{ found->second });
+  aOut.Write(gpPlainLine(gpEventKind::LinkDown,
+                         found->second.value_ + " gave way to others"));
   links_.erase(found);
 }
 
--- a/Source/Lease/gpEntryLinks.cxx
+++ b/Source/Lease/gpEntryLinks.cxx
@@ -15,14 +15,19 @@
 } // namespace
 
 void
-gpEntryLinks::Open(gpLinkId aLink, gpIncarnation aEntry)
+gpEntryLinks::Open(gpLinkId aLink,
+                   const gpAddress& aAddress,
+                   gpIncarnation aEntry,
+                   gpTime aNow)
 {
+  finder_.OnLinked(aAddress, aLink, aNow);
   links_[aLink].entry_ = aEntry;
 }
 
 std::optional<gpIncarnation>
-gpEntryLinks::Close(gpLinkId aLink)
+gpEntryLinks::Close(gpLinkId aLink, gpTime aNow)
 {
+  finder_.OnLost(aLink, aNow);
   const auto found = links_.find(aLink);
   if (found == links_.end()) {
     return std::nullopt;
@@ -33,10 +38,11 @@
 }
 
 std::vector<gpLinkId>
-gpEntryLinks::CloseAll()
+gpEntryLinks::CloseAll(gpTime aNow)
 {
   std::vector<gpLinkId> closed;
   for (const auto& [id, link] : std::exchange(links_, {})) {
+    finder_.OnLost(id, aNow);
     closed.push_back(id);
   }
   return closed;
@@ -57,11 +63,15 @@
 }
 
 void
-gpEntryLinks::SetSurplus(gpLinkId aLink, bool aIsSurplus)
+gpEntryLinks::Update(const gpRunTable& aRuns, gpTime aNow, gpLeaseEffects& aOut)
 {
-  const auto found = links_.find(aLink);
-  if (found != links_.end()) {
-    found->second.isSurplus_ = aIsSurplus;
+  finder_.Update(aNow, aOut);
+  for (const gpLinkId link : finder_.ListSurplus(aNow)) {
+    const auto found = links_.find(link);
+    if (found != links_.end() && aRuns.ListOf(found->second.entry_).empty()) {
+      links_.erase(found);
+      finder_.Release(link, aOut);
+    }
   }
 }
 
@@ -106,7 +116,7 @@
   for (auto& [id, link] : links_) {
     const bool isFirst = !std::exchange(link.told_, true);
     gpTargetNews news = aNews;
-    news.takesWork_ = news.takesWork_ && !link.isSurplus_;
+    news.takesWork_ = news.takesWork_ && !finder_.IsSurplus(id);
     const bool isNews = isFirst || news != link.toldNews_;
     if (isNews) {
       link.toldNews_ = news;
--- a/Source/Lease/gpEntryLinks.h
+++ b/Source/Lease/gpEntryLinks.h
@@ -3,33 +3,52 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
+#include "gpEntryFinder.h"
 #include "gpLeaseEvent.h"
+#include "gpRunTable.h"
 
 /** \class gpEntryLinks
  * \brief A guard's links to entries, and what each entry was told of the
  * target.
  *
+ * A link that others have replaced gets no more work, and is closed when the
+ * runs of its entry have ended.
+ *
  * An entry learns of free room with each other message that it gets; the rest
  * hear of it after a short time, so that changes are told together.
  */
 class gpEntryLinks
 {
 public:
-  void Open(gpLinkId aLink, gpIncarnation aEntry);
+  /// aName decides which entries are chosen; aLinks is their number.
+  gpEntryLinks(std::string aName, std::size_t aLinks)
+    : finder_({ {}, std::move(aName), aLinks })
+  {
+  }
+
+  /// Finds the entries to link with.
+  gpEntryFinder& GetFinder() { return finder_; }
+  void Open(gpLinkId aLink,
+            const gpAddress& aAddress,
+            gpIncarnation aEntry,
+            gpTime aNow);
   /// The entry of the closed link, if the link was known.
-  std::optional<gpIncarnation> Close(gpLinkId aLink);
-  std::vector<gpLinkId> CloseAll();
+  std::optional<gpIncarnation> Close(gpLinkId aLink, gpTime aNow);
+  std::vector<gpLinkId> CloseAll(gpTime aNow);
+  /// Links with the entries that are wanted, and gives up links that aren't.
+  void Update(const gpRunTable& aRuns, gpTime aNow, gpLeaseEffects& aOut);
   bool Contains(gpLinkId aLink) const { return links_.contains(aLink); }
   gpIncarnation GetEntry(gpLinkId aLink) const;
   std::size_t Count() const { return links_.size(); }
 
   /// A run was ordered on the link.
   void NoteOrdered(gpLinkId aLink, gpTime aNow);
-  /// The link is to be closed: its entry is told that it gets no more work.
-  void SetSurplus(gpLinkId aLink, bool aIsSurplus);
-  bool IsSurplus(gpLinkId aLink) const { return links_.at(aLink).isSurplus_; }
+  /// Whether the link is to be closed, and gets no more work.
+  bool IsSurplus(gpLinkId aLink) const { return finder_.IsSurplus(aLink); }
   /// Sends a report on the link.
   void Report(gpLinkId aLink, gpRunReport aReport, gpLeaseEffects& aOut);
   /// Sends a report to the entry, if it's linked.
@@ -48,7 +67,6 @@
     gpIncarnation entry_;
     std::uint64_t runsSeen_ = 0;
     gpTime orderedAt_;
-    bool isSurplus_ = false;
     bool sentNow_ = false;
     bool told_ = false;
     gpResources toldFree_;
@@ -58,6 +76,7 @@
   /// Entries that share the target with the one of the link, and that one.
   std::uint32_t CountSharers(gpLinkId aLink, gpTime aNow) const;
 
+  gpEntryFinder finder_;
   std::map<gpLinkId, Link> links_;
   gpTime nextTellAt_;
 };
--- /dev/null
+++ b/Source/Lease/gpEntryPeers.cxx
@@ -0,0 +1,43 @@
+#include "gpEntryPeers.h"
+
+void
+gpEntryPeers::OnLinked(const gpLinkOpened& aEvent, gpTime aNow)
+{
+  if (aEvent.dialed_.has_value()) {
+    finder_.OnLinked(*aEvent.dialed_, aEvent.link_, aNow);
+    return;
+  }
+  accepted_.insert(aEvent.link_);
+  finder_.Hear({ gpKnownEntry{ aEvent.peer_.address_, {}, 0 } });
+}
+
+void
+gpEntryPeers::OnLost(gpLinkId aLink, gpTime aNow)
+{
+  accepted_.erase(aLink);
+  finder_.OnLost(aLink, aNow);
+}
+
+void
+gpEntryPeers::Update(const std::map<gpLinkId, gpIncarnation>& aGuards,
+                     gpTime aNow,
+                     gpLeaseEffects& aOut)
+{
+  finder_.Update(aNow, aOut);
+  for (const gpLinkId link : finder_.ListSurplus(aNow)) {
+    finder_.Release(link, aOut);
+  }
+  const auto news = finder_.TakeNews(aNow);
+  if (!news.has_value()) {
+    return;
+  }
+  for (const auto& [link, guard] : aGuards) {
+    aOut.Send(link, *news);
+  }
+  for (const gpLinkId link : accepted_) {
+    aOut.Send(link, *news);
+  }
+  for (const auto& [link, entry] : finder_.GetLinks()) {
+    aOut.Send(link, *news);
+  }
+}
--- a/Source/Lease/gpEntryRanking.cxx
+++ b/Source/Lease/gpEntryRanking.cxx
@@ -49,6 +49,7 @@
               std::size_t aCount)
 {
   std::vector<Ranked> ranked;
+  ranked.reserve(aEntries.size());
   for (const auto& [address, entry] : aEntries) {
     ranked.push_back({ ScoreOf(aSelf, entry), &entry });
   }
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -1,7 +1,6 @@
 #include "gpLeaseEntryReducer.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "gpLeaseLines.h"
@@ -11,8 +10,6 @@
 
 /// Period of housekeeping.
 constexpr gpMillis kTick{ 20 };
-/// Waiting tasks without room that are looked at before the others wait too.
-constexpr int kMostMisses = 8;
 /// Callers that are refused at a shutdown find another entry in this time.
 constexpr gpMillis kShutdownRetry{ 1000 };
 /// Within the time for a shutdown, this last part takes no new jobs.
@@ -22,10 +19,10 @@
 
 gpLeaseEntryReducer::gpLeaseEntryReducer(gpLeaseEntryOptions aOptions)
   : options_(std::move(aOptions))
-  , finder_({ options_.self_, options_.self_.address_.value_, options_.links_ })
+  , peers_(options_.self_, options_.links_)
   , board_(options_.self_.dataCentre_)
   , admission_(board_, jobs_)
-  , orders_(options_.firstRun_)
+  , dispatcher_(jobs_, board_, options_.firstRun_)
 {
 }
 
@@ -36,10 +33,10 @@
   mayPlace_ = true;
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
   if (mayPlace_) {
-    Dispatch();
+    dispatcher_.Dispatch(now_, out_);
   }
-  orders_.Flush(out_);
-  UpdatePeers();
+  dispatcher_.Flush(out_);
+  peers_.Update(guards_, now_, out_);
   ContinueShutdown();
   ScheduleWake();
   return out_.Take();
@@ -53,7 +50,7 @@
   status.jobs_ = jobs_.GetAll().size();
   status.waiting_ = jobs_.GetWaiting().size();
   status.guards_ = guards_.size();
-  status.entries_ = finder_.GetLinks().size();
+  status.entries_ = peers_.CountDialed();
   status.ready_ = queues_.version_ != gpConfigVersion{} && !guards_.empty() &&
                   shutdownAt_ == gpTime::max();
   return status;
@@ -141,7 +138,7 @@
     return;
   }
   WriteJob(gpEventKind::CallerGone, *job, "");
-  StopRuns(*job);
+  dispatcher_.StopRuns(*job, out_);
   jobs_.Remove(job->sequence_);
 }
 
@@ -162,7 +159,7 @@
 void
 gpLeaseEntryReducer::On(const gpEntriesFound& aEvent)
 {
-  finder_.Keep(aEvent.entries_);
+  peers_.Keep(aEvent.entries_);
 }
 
 void
@@ -172,20 +169,16 @@
   if (peer.role_ == gpRole::Guard) {
     guards_.insert_or_assign(aEvent.link_, peer.incarnation_);
     board_.OnLinked(peer.incarnation_, aEvent.link_);
-  } else if (aEvent.dialed_.has_value()) {
-    finder_.OnLinked(*aEvent.dialed_, aEvent.link_, now_);
   } else {
-    peers_.insert(aEvent.link_);
-    finder_.Hear({ gpKnownEntry{ peer.address_, {}, 0 } });
+    peers_.OnLinked(aEvent, now_);
   }
-  out_.Send(aEvent.link_, finder_.MakeNews(now_));
+  out_.Send(aEvent.link_, peers_.MakeNews(now_));
 }
 
 void
 gpLeaseEntryReducer::On(const gpLinkLost& aEvent)
 {
-  finder_.OnLost(aEvent.link_, now_);
-  peers_.erase(aEvent.link_);
+  peers_.OnLost(aEvent.link_, now_);
   const auto found = guards_.find(aEvent.link_);
   if (found == guards_.end()) {
     return;
@@ -207,14 +200,15 @@
     gpLeaseTask& task = job->tasks_[index];
     task.lostAt_ = now_;
     jobs_.TakeBack(*job, index, gpLeaseTaskPhase::Lost);
-    WriteRun(gpEventKind::TaskInDoubt, *job, task.run_, aGuard, "link lost");
+    out_.Write(gpTaskLine(
+      gpEventKind::TaskInDoubt, *job, task.run_, aGuard, "link lost"));
   }
 }
 
 void
 gpLeaseEntryReducer::On(const gpDialFailed& aEvent)
 {
-  finder_.OnDialFailed(aEvent.address_, now_);
+  peers_.OnDialFailed(aEvent.address_, now_);
 }
 
 void
@@ -237,11 +231,11 @@
     return;
   }
   board_.NoteEnded(guard->second, job->job_.id_, aMessage, now_);
-  WriteRun(gpEventKind::TaskEnded,
-           *job,
-           aMessage.run_,
-           guard->second,
-           gpRunEndName(aMessage.end_));
+  out_.Write(gpTaskLine(gpEventKind::TaskEnded,
+                        *job,
+                        aMessage.run_,
+                        guard->second,
+                        gpRunEndName(aMessage.end_)));
   if (aMessage.end_ == gpRunEnd::Done) {
     // The room that it leaves is told with another message.
     mayPlace_ = job->job_.steps_.size() > 1;
@@ -280,7 +274,7 @@
     --aJob.begun_;
   }
   if (aEnd == gpRunEnd::Outdated) {
-    orders_.SkipAhead();
+    dispatcher_.SkipAhead();
   } else {
     task.avoid_.insert(task.guard_);
   }
@@ -324,7 +318,7 @@
 void
 gpLeaseEntryReducer::OnMessage(gpLinkId /*aLink*/, const gpEntryNews& aMessage)
 {
-  finder_.Hear(aMessage.entries_);
+  peers_.Hear(aMessage);
 }
 
 void
@@ -351,25 +345,10 @@
            gpAnswerText(aAnswer) + " after " +
              gpMillisText(now_ - aJob.arrivedAt_));
   out_.Add(gpAnswerLeaseJob{ aJob.request_, aAnswer });
-  StopRuns(aJob);
+  dispatcher_.StopRuns(aJob, out_);
   jobs_.Remove(aJob.sequence_);
 }
 
-void
-gpLeaseEntryReducer::StopRuns(const gpLeaseRecord& aJob)
-{
-  std::map<gpLinkId, gpRunCancel> cancels;
-  for (const gpLeaseTask& task : aJob.tasks_) {
-    const gpTargetView* view = board_.Find(task.guard_);
-    if (task.phase_ == gpLeaseTaskPhase::Sent && view != nullptr) {
-      cancels[view->link_].runs_.push_back(task.run_);
-    }
-  }
-  for (auto& [link, cancel] : cancels) {
-    out_.Send(link, std::move(cancel));
-  }
-}
-
 void
 gpLeaseEntryReducer::GiveUpLate()
 {
@@ -403,7 +382,7 @@
     OnTaskBack(aJob, task, gpRunEnd::Stopped);
   }
   for (const std::size_t task : overdue.recalled_) {
-    Recall(aJob, task);
+    dispatcher_.Recall(aJob, task, out_);
   }
 }
 
@@ -413,85 +392,6 @@
   EndJob(aJob, { gpLeaseOutcome::Failed, aReason, std::nullopt });
 }
 
-void
-gpLeaseEntryReducer::Recall(gpLeaseRecord& aJob, std::size_t aTask)
-{
-  gpLeaseTask& task = aJob.tasks_[aTask];
-  const gpTargetView* view = board_.Find(task.guard_);
-  if (view == nullptr) {
-    return;
-  }
-  task.recallAt_ = gpTime::max();
-  WriteRun(gpEventKind::TaskCancelled, aJob, task.run_, task.guard_, "overdue");
-  out_.Send(view->link_, gpRunCancel{ { task.run_ } });
-}
-
-void
-gpLeaseEntryReducer::Dispatch()
-{
-  // One count for tasks that need a fast target, one for the others.
-  std::array<int, 2> misses{};
-  std::uint64_t missedJob = 0;
-  auto next = jobs_.GetWaiting().begin();
-  while (next != jobs_.GetWaiting().end()) {
-    const auto [hasChoice, dueAt, sequence, index] = *next++;
-    int& missed = misses.at(hasChoice ? 1 : 0);
-    if (sequence == missedJob || missed >= kMostMisses) {
-      continue;
-    }
-    gpLeaseRecord& job = *jobs_.Find(sequence);
-    const gpLeaseTask& task = job.tasks_[index];
-    gpPlacementNeed need =
-      gpLeaseAdmission::NeedOf(job, job.GetStep(task), now_);
-    need.avoid_ = task.avoid_;
-    const auto guard = board_.Choose(need, now_);
-    if (guard.has_value()) {
-      SendRun(job, index, *guard);
-    } else {
-      ++missed;
-      missedJob = sequence;
-    }
-  }
-}
-
-void
-gpLeaseEntryReducer::SendRun(gpLeaseRecord& aJob,
-                             std::size_t aTask,
-                             gpIncarnation aGuard)
-{
-  jobs_.Send(aJob, aTask, aGuard, orders_.NextNumber(now_));
-  gpLeaseTask& task = aJob.tasks_[aTask];
-  const gpJobStep& step = aJob.GetStep(task);
-  task.recallAt_ = gpRecallTime(step, now_);
-  board_.NoteSent(aGuard, task.run_, step.needs_, step.estimate_, now_);
-  const gpTargetView& view = *board_.Find(aGuard);
-  orders_.Add(view.link_, aJob.job_, task.step_, task.run_);
-  WriteRun(
-    gpEventKind::TaskSent, aJob, task.run_, aGuard, gpTargetText(view, now_));
-}
-
-void
-gpLeaseEntryReducer::UpdatePeers()
-{
-  finder_.Update(now_, out_);
-  for (const gpLinkId link : finder_.ListSurplus(now_)) {
-    finder_.Release(link, out_);
-  }
-  const auto news = finder_.TakeNews(now_);
-  if (!news.has_value()) {
-    return;
-  }
-  for (const auto& [link, guard] : guards_) {
-    out_.Send(link, *news);
-  }
-  for (const gpLinkId link : peers_) {
-    out_.Send(link, *news);
-  }
-  for (const auto& [link, entry] : finder_.GetLinks()) {
-    out_.Send(link, *news);
-  }
-}
-
 bool
 gpLeaseEntryReducer::IsEnding() const
 {
@@ -547,15 +447,3 @@
 {
   out_.Write(gpJobLine(aKind, aJob.queue_.service_, aJob.job_.id_, aDetail));
 }
-
-void
-gpLeaseEntryReducer::WriteRun(gpEventKind aKind,
-                              const gpLeaseRecord& aJob,
-                              const gpRunId& aRun,
-                              gpIncarnation aGuard,
-                              const std::string& aDetail)
-{
-  gpTimelineEvent line = gpRunLine(aKind, aJob.queue_.service_, aRun, aDetail);
-  line.peer_ = aGuard;
-  out_.Write(std::move(line));
-}
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -3,15 +3,14 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
-#include "gpEntryFinder.h"
+#include "gpEntryPeers.h"
 #include "gpLeaseAdmission.h"
 #include "gpLeaseEvent.h"
 #include "gpLeaseJobTable.h"
-#include "gpRunOrders.h"
+#include "gpRunDispatcher.h"
 #include "gpTargetBoard.h"
 
 /** \class gpLeaseEntryOptions
@@ -86,20 +85,12 @@
   /// Answers the caller, stops what runs and forgets the job.
   void EndJob(gpLeaseRecord& aJob, const gpLeaseAnswer& aAnswer);
   void FailJob(gpLeaseRecord& aJob, gpLeaseReason aReason);
-  void StopRuns(const gpLeaseRecord& aJob);
   void OnTaskDone(gpLeaseRecord& aJob, std::size_t aTask);
   void OnTaskBack(gpLeaseRecord& aJob, std::size_t aTask, gpRunEnd aEnd);
   /// Gives up what can't be served any more.
   void GiveUpLate();
   void GiveUpOrRecall(gpLeaseRecord& aJob);
-  /// Stops a run that is far too late, to place the task elsewhere.
-  void Recall(gpLeaseRecord& aJob, std::size_t aTask);
-  /// Sends waiting tasks to targets with room.
-  void Dispatch();
-  void SendRun(gpLeaseRecord& aJob, std::size_t aTask, gpIncarnation aGuard);
   void LoseGuard(gpIncarnation aGuard);
-  /// Links with other entries, and passes on which ones were heard of.
-  void UpdatePeers();
   /// Whether no more jobs are taken in, as the process ends soon.
   bool IsEnding() const;
   void ContinueShutdown();
@@ -109,24 +100,17 @@
   void WriteJob(gpEventKind aKind,
                 const gpLeaseRecord& aJob,
                 const std::string& aDetail);
-  void WriteRun(gpEventKind aKind,
-                const gpLeaseRecord& aJob,
-                const gpRunId& aRun,
-                gpIncarnation aGuard,
-                const std::string& aDetail);
 
   gpLeaseEntryOptions options_;
   gpTime now_;
   gpLeaseEffects out_;
   gpQueueTable queues_;
-  gpEntryFinder finder_;
+  gpEntryPeers peers_;
   gpTargetBoard board_;
   gpLeaseJobTable jobs_;
   gpLeaseAdmission admission_;
-  /// Guards by link, and links that other entries dialed.
+  gpRunDispatcher dispatcher_;
   std::map<gpLinkId, gpIncarnation> guards_;
-  std::set<gpLinkId> peers_;
-  gpRunOrders orders_;
   gpTime wakeAt_;
   gpTime shutdownAt_ = gpTime::max();
   /// Whether the event may have made a task placeable that wasn't.
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -23,8 +23,9 @@
 
 gpLeaseGuardReducer::gpLeaseGuardReducer(gpLeaseGuardOptions aOptions)
   : options_(std::move(aOptions))
-  , finder_({ {}, options_.name_, options_.links_ })
+  , links_(options_.name_, options_.links_)
   , target_(options_.fence_)
+  , stopper_(options_.service_, runs_, target_)
 {
 }
 
@@ -34,9 +35,9 @@
   now_ = aEvent.now_;
   CheckPause();
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
-  RepeatStops();
+  stopper_.Repeat(looks_.GetPause(), now_, out_);
   Look();
-  UpdateLinks();
+  links_.Update(runs_, now_, out_);
   links_.Tell(MakeNews(), MakeRoom(), now_, out_);
   ContinueShutdown();
   ScheduleWake();
@@ -65,44 +66,24 @@
   WriteTarget(gpEventKind::BadInput,
               "not scheduled for " + gpMillisText(now_ - last) +
                 ", closing links");
-  for (const gpLinkId link : links_.CloseAll()) {
+  for (const gpLinkId link : links_.CloseAll(now_)) {
     out_.Add(gpCloseLink{ link });
-    finder_.OnLost(link, now_);
-  }
-  for (const auto& [id, run] : runs_.GetAll()) {
-    Stop(*runs_.Find(id));
-  }
-}
-
-void
-gpLeaseGuardReducer::UpdateLinks()
-{
-  finder_.Update(now_, out_);
-  for (const auto& [link, entry] : finder_.GetLinks()) {
-    links_.SetSurplus(link, finder_.IsSurplus(link));
-  }
-  for (const gpLinkId link : finder_.ListSurplus(now_)) {
-    const bool isIdle =
-      links_.Contains(link) && runs_.ListOf(links_.GetEntry(link)).empty();
-    if (isIdle) {
-      links_.Close(link);
-      finder_.Release(link, out_);
-    }
   }
+  stopper_.StopAll(now_, out_);
 }
 
 bool
 gpLeaseGuardReducer::TakesWork() const
 {
   return target_.IsKnown() && target_.IsConfirmed() && looks_.HasAnswer() &&
-         strangers_.IsEmpty() && !target_.IsLeaving() &&
+         !stopper_.HasStrangers() && !target_.IsLeaving() &&
          !target_.IsSilent(now_) && shutdownEnd_ == gpTime::max();
 }
 
 void
 gpLeaseGuardReducer::On(const gpEntriesFound& aEvent)
 {
-  finder_.Keep(aEvent.entries_);
+  links_.GetFinder().Keep(aEvent.entries_);
 }
 
 void
@@ -111,29 +92,24 @@
   if (aEvent.peer_.role_ != gpRole::Entry || !aEvent.dialed_.has_value()) {
     return;
   }
-  finder_.OnLinked(*aEvent.dialed_, aEvent.link_, now_);
   const gpIncarnation entry = aEvent.peer_.incarnation_;
-  links_.Open(aEvent.link_, entry);
+  links_.Open(aEvent.link_, *aEvent.dialed_, entry, now_);
   out_.Send(aEvent.link_, gpRunsHeld{ runs_.ListOf(entry) });
 }
 
 void
 gpLeaseGuardReducer::On(const gpLinkLost& aEvent)
 {
-  finder_.OnLost(aEvent.link_, now_);
-  const auto entry = links_.Close(aEvent.link_);
-  if (!entry.has_value()) {
-    return;
-  }
-  for (const gpRunId& id : runs_.ListOf(*entry)) {
-    Stop(*runs_.Find(id));
+  const auto entry = links_.Close(aEvent.link_, now_);
+  if (entry.has_value()) {
+    stopper_.StopOf(*entry, now_, out_);
   }
 }
 
 void
 gpLeaseGuardReducer::On(const gpDialFailed& aEvent)
 {
-  finder_.OnDialFailed(aEvent.address_, now_);
+  links_.GetFinder().OnDialFailed(aEvent.address_, now_);
 }
 
 void
@@ -161,7 +137,7 @@
   for (const gpRunId& id : aMessage.runs_) {
     gpGuardRun* run = runs_.Find(id);
     if (run != nullptr && run->owner_ == entry) {
-      Stop(*run);
+      stopper_.Stop(*run, now_, out_);
     }
   }
 }
@@ -169,7 +145,7 @@
 void
 gpLeaseGuardReducer::OnMessage(gpLinkId /*aLink*/, const gpEntryNews& aMessage)
 {
-  finder_.Hear(aMessage.entries_);
+  links_.GetFinder().Hear(aMessage.entries_);
 }
 
 void
@@ -216,35 +192,6 @@
   links_.Report(aLink, { aRun, aReason, gpMicros(0) }, out_);
 }
 
-void
-gpLeaseGuardReducer::Stop(gpGuardRun& aRun)
-{
-  if (aRun.phase_ == gpRunPhase::Stopping) {
-    return;
-  }
-  aRun.phase_ = gpRunPhase::Stopping;
-  aRun.settledAt_.reset();
-  WriteRun(gpEventKind::TaskCancelled, aRun.id_, "");
-  SendStop(aRun.id_);
-}
-
-void
-gpLeaseGuardReducer::SendStop(const gpRunId& aRun)
-{
-  if (target_.IsKnown()) {
-    stops_.NoteSent(aRun, now_);
-    out_.Add(gpStopRun{ target_.Get().id_, aRun, target_.GetFence() });
-  }
-}
-
-void
-gpLeaseGuardReducer::RepeatStops()
-{
-  for (const gpRunId& run : stops_.ListDue(now_, looks_.GetPause())) {
-    SendStop(run);
-  }
-}
-
 void
 gpLeaseGuardReducer::Finish(const gpRunId& aRun, gpRunEnd aEnd)
 {
@@ -261,14 +208,13 @@
     links_.Report(*run->owner_, { aRun, aEnd, time }, out_);
   }
   runs_.Remove(aRun);
-  stops_.Forget(aRun);
+  stopper_.Forget(aRun);
 }
 
 void
 gpLeaseGuardReducer::FinishAll()
 {
-  strangers_.Clear();
-  stops_.Clear();
+  stopper_.Clear();
   std::vector<gpRunId> all;
   for (const auto& [id, run] : runs_.GetAll()) {
     all.push_back(id);
@@ -291,9 +237,7 @@
 gpLeaseGuardReducer::OnOtherTarget(bool aIsSameId)
 {
   if (aIsSameId) {
-    for (const auto& [id, run] : runs_.GetAll()) {
-      Stop(*runs_.Find(id));
-    }
+    stopper_.StopAll(now_, out_);
   } else {
     FinishAll();
   }
@@ -352,7 +296,7 @@
       }
       return;
     case gpOrderReply::Silent:
-      Stop(*run);
+      stopper_.Stop(*run, now_, out_);
       return;
     case gpOrderReply::Fence:
       target_.RaiseFence();
@@ -380,14 +324,7 @@
   if (aEvent.reply_ == gpOrderReply::Fence) {
     target_.RaiseFence();
   }
-  if (aEvent.reply_ != gpOrderReply::Accepted) {
-    stops_.NoteFailed(aEvent.run_);
-    return;
-  }
-  stops_.Forget(aEvent.run_);
-  if (gpGuardRun* run = runs_.Find(aEvent.run_)) {
-    run->settledAt_ = now_;
-  }
+  stopper_.NoteReply(aEvent, now_);
 }
 
 void
@@ -419,14 +356,7 @@
     }
   }
   FinishOver(aEvent.sentAt_, aEvent.running_);
-  const auto strangers = strangers_.Show(aEvent.running_, runs_);
-  for (const gpRunId& id : strangers.appeared_) {
-    WriteRun(gpEventKind::TaskCancelled, id, "not started by this guard");
-    SendStop(id);
-  }
-  for (const gpRunId& id : strangers.gone_) {
-    stops_.Forget(id);
-  }
+  stopper_.StopStrangers(aEvent.running_, now_, out_);
 }
 
 void
@@ -464,7 +394,7 @@
     look.leaseEnd_ = target_.ExtendLease(now_);
     look.wait_ = kLookWait;
   }
-  if (!looks_.HasAnswer() || looks_.HasFailed() || !strangers_.IsEmpty()) {
+  if (!looks_.HasAnswer() || looks_.HasFailed() || stopper_.HasStrangers()) {
     look.wait_ = gpMillis(0);
   }
   out_.Add(std::move(look));
@@ -515,7 +445,7 @@
   }
   const gpTime tellAt = links_.GetTellTime(runs_.GetFree());
   when = std::min(when, std::max(tellAt, soonest));
-  const gpTime stopAt = stops_.GetNext(looks_.GetPause());
+  const gpTime stopAt = stopper_.GetNext(looks_.GetPause());
   when = std::min(when, std::max(stopAt, soonest));
   if (wakeAt_ <= now_ || when < wakeAt_) {
     wakeAt_ = when;
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -3,13 +3,11 @@
 #include <cstdint>
 #include <vector>
 
-#include "gpEntryFinder.h"
 #include "gpEntryLinks.h"
 #include "gpLeaseEvent.h"
 #include "gpLookSchedule.h"
-#include "gpPendingStops.h"
+#include "gpRunStopper.h"
 #include "gpRunTable.h"
-#include "gpStrangerRuns.h"
 #include "gpTargetSession.h"
 #include "gpTargetSpeed.h"
 
@@ -81,14 +79,8 @@
 
   /// Closes all links if the process was not scheduled for too long.
   void CheckPause();
-  /// Links with the entries that are wanted, and gives up links that aren't.
-  void UpdateLinks();
   bool TakesWork() const;
   void StartOne(gpLinkId aLink, const gpRunOrder& aOrder, const gpRunId& aRun);
-  /// Stops a run that may be at work, or makes sure that it never begins.
-  void Stop(gpGuardRun& aRun);
-  void SendStop(const gpRunId& aRun);
-  void RepeatStops();
   /// The run is over: tells its entry and frees its room.
   void Finish(const gpRunId& aRun, gpRunEnd aEnd);
   /// Nothing runs at the target any more.
@@ -114,12 +106,10 @@
   gpLeaseGuardOptions options_;
   gpTime now_;
   gpLeaseEffects out_;
-  gpEntryFinder finder_;
   gpEntryLinks links_;
   gpTargetSession target_;
   gpRunTable runs_;
-  gpStrangerRuns strangers_;
-  gpPendingStops stops_;
+  gpRunStopper stopper_;
   gpLookSchedule looks_;
   gpTargetSpeed speed_;
   std::uint64_t seenEnds_ = 0;
--- a/Source/Lease/gpLeaseLines.cxx
+++ b/Source/Lease/gpLeaseLines.cxx
@@ -27,6 +27,18 @@
   return line;
 }
 
+gpTimelineEvent
+gpTaskLine(gpEventKind aKind,
+           const gpLeaseRecord& aJob,
+           const gpRunId& aRun,
+           gpIncarnation aGuard,
+           const std::string& aDetail)
+{
+  gpTimelineEvent line = gpRunLine(aKind, aJob.queue_.service_, aRun, aDetail);
+  line.peer_ = aGuard;
+  return line;
+}
+
 gpTimelineEvent
 gpPlainLine(gpEventKind aKind, std::string aDetail)
 {
--- a/Source/Lease/gpLeaseLines.h
+++ b/Source/Lease/gpLeaseLines.h
@@ -24,6 +24,14 @@
           const gpRunId& aRun,
           std::string aDetail);
 
+/// A line about a run that an entry ordered at a guard.
+gpTimelineEvent
+gpTaskLine(gpEventKind aKind,
+           const gpLeaseRecord& aJob,
+           const gpRunId& aRun,
+           gpIncarnation aGuard,
+           const std::string& aDetail);
+
 /// A line about the process, its target or its configuration.
 gpTimelineEvent
 gpPlainLine(gpEventKind aKind, std::string aDetail);
--- a/Tests/Lease/testEntryFinder.cxx
+++ b/Tests/Lease/testEntryFinder.cxx
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "gpEntryFinder.h"
+#include "gpEntryLinks.h"
 #include "gpEntryRanking.h"
 
 namespace {
@@ -320,3 +321,46 @@
   BOOST_TEST(directory.TakeNews().size() == 1U);
   BOOST_TEST(directory.TakeNews().empty());
 }
+
+BOOST_AUTO_TEST_CASE(ALinkGivesWayWhenItsRunsHaveEnded)
+{
+  const gpLinkId oldLink(1);
+  const gpLinkId newLink(2);
+  const gpIncarnation oldEntry(11);
+  const auto order = gpRankEntries("guard-1", MakeFleet(2), 1);
+  gpEntryLinks links("guard-1", 1);
+  gpRunTable runs;
+  gpGuardRun run;
+  run.id_ = { "job.0.0.0", 1 };
+  run.owner_ = oldEntry;
+  runs.Add(run);
+  gpTime now{ gpMillis(1000) };
+  gpLeaseEffects out;
+  links.GetFinder().Keep({ order[1] });
+  links.Update(runs, now, out);
+  links.Open(oldLink, order[1], oldEntry, now);
+  links.GetFinder().Keep(order);
+  links.Update(runs, now, out);
+  BOOST_TEST(!links.IsSurplus(oldLink));
+  links.Open(newLink, order[0], gpIncarnation(12), now);
+  links.Update(runs, now, out);
+  BOOST_TEST(links.IsSurplus(oldLink));
+  // Its entry is told that it gets no more work; the other one isn't.
+  out.Take();
+  gpTargetNews news;
+  news.takesWork_ = true;
+  links.Tell(news, {}, now, out);
+  for (const gpLeaseEffect& effect : out.Take()) {
+    const auto& send = std::get<gpSend>(effect);
+    if (const auto* told = std::get_if<gpTargetNews>(&send.message_)) {
+      BOOST_TEST(told->takesWork_ == (send.link_ == newLink));
+    }
+  }
+  now += gpMillis(5000);
+  links.Update(runs, now, out);
+  BOOST_TEST(links.Contains(oldLink));
+  runs.Remove(run.id_);
+  links.Update(runs, now, out);
+  BOOST_TEST(!links.Contains(oldLink));
+  BOOST_TEST(links.Contains(newLink));
+}
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -97,7 +97,7 @@
   gpLeaseGuardReducer guard_{ { .name_ = "guard-1",
                                 .service_ = kService,
                                 .dataCentre_ = gpDataCentreName("dc-1"),
-                                .fence_ = 1,
+                                .fence_ = 1000,
                                 .shutdown_ = gpMillis(1000) } };
   std::vector<gpLeaseEffect> calls_;
 };
