--- a/Tests/Lease/testLeaseEntry.cxx
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -70,6 +70,12 @@
       if (const auto* answer = std::get_if<gpAnswerLeaseJob>(&effect)) {
         answers_[answer->request_] = answer->answer_;
       }
+      if (const auto* send = std::get_if<gpSend>(&effect)) {
+        if (const auto* order = std::get_if<gpRunOrder>(&send->message_)) {
+          ordered_.insert(
+            ordered_.end(), order->runs_.begin(), order->runs_.end());
+        }
+      }
       stopped_ = stopped_ || std::holds_alternative<gpStop>(effect);
     }
   }
@@ -80,7 +86,15 @@
     Feed(gpTimePassed{});
   }
 
+  /// The guard reports the end of the newest run.
+  void EndRun(gpRunEnd aEnd)
+  {
+    Feed(gpMessageReceived{
+      kLink, gpRunReport{ ordered_.back(), aEnd, gpMillis(5) } });
+  }
+
   std::map<gpRequestId, gpLeaseAnswer> answers_;
+  std::vector<gpRunId> ordered_;
   bool stopped_ = false;
 
 private:
@@ -118,3 +132,33 @@
   BOOST_TEST((waiting.outcome_ == gpLeaseOutcome::NotRun));
   BOOST_TEST(waiting.retryAfter_.has_value());
 }
+
+// A start whose answer was lost may have run: the guard settles it by a stop.
+// The job is placed again, and is never said not to have run.
+BOOST_AUTO_TEST_CASE(AJobWhoseStartWasSettledByAStopMayHaveRun)
+{
+  EntryWithGuard entry;
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("job") });
+  BOOST_REQUIRE(entry.ordered_.size() == 1U);
+  entry.EndRun(gpRunEnd::Stopped);
+  entry.Feed(gpMessageReceived{ kLink, gpRoomReport{ { 1000, 0, 0 }, 1 } });
+  BOOST_REQUIRE(entry.ordered_.size() == 2U);
+  BOOST_TEST(entry.ordered_[0].number_ < entry.ordered_[1].number_);
+  entry.Feed(gpLinkLost{ kLink, gpErrorCode::LinkSilent });
+  entry.Pass(kPatience);
+  BOOST_REQUIRE(entry.answers_.size() == 1U);
+  BOOST_TEST(
+    (entry.answers_.at(gpRequestId(1)).outcome_ == gpLeaseOutcome::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(AJobThatNoTargetTookIsSaidNotToHaveRun)
+{
+  EntryWithGuard entry;
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("job") });
+  entry.EndRun(gpRunEnd::NoRoom);
+  entry.Feed(gpLinkLost{ kLink, gpErrorCode::LinkSilent });
+  entry.Pass(kPatience);
+  BOOST_REQUIRE(entry.answers_.size() == 1U);
+  BOOST_TEST(
+    (entry.answers_.at(gpRequestId(1)).outcome_ == gpLeaseOutcome::NotRun));
+}
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -16,12 +16,13 @@
 constexpr int kMostCallsASecond = 20;
 
 gpTargetAnnouncement
-MakeTarget(std::uint64_t aSequence)
+MakeTarget(std::uint64_t aSequence, bool aIsDraining = false)
 {
   gpTargetAnnouncement target;
   target.id_ = "t-1";
   target.born_ = 1;
   target.sequence_ = aSequence;
+  target.draining_ = aIsDraining;
   target.service_ = kService;
   target.capacity_ = { 4000, 0, 0 };
   return target;
@@ -32,9 +33,9 @@
 class GuardWithTarget
 {
 public:
-  GuardWithTarget()
+  explicit GuardWithTarget(bool aIsDraining = false)
   {
-    Feed(gpTargetHeard{ MakeTarget(1) });
+    Feed(gpTargetHeard{ MakeTarget(1, aIsDraining) });
     gpLinkOpened opened;
     opened.link_ = kLink;
     opened.peer_.role_ = gpRole::Entry;
@@ -49,7 +50,10 @@
       if (std::holds_alternative<gpStopRun>(effect) ||
           std::holds_alternative<gpLookAtTarget>(effect) ||
           std::holds_alternative<gpStartRun>(effect)) {
+        starts_ += std::holds_alternative<gpStartRun>(effect) ? 1 : 0;
         calls_.push_back(std::move(effect));
+      } else if (std::holds_alternative<gpCloseLink>(effect)) {
+        ++closedLinks_;
       }
     }
   }
@@ -73,6 +77,11 @@
     }
   }
 
+  /// Time passes in which the process isn't scheduled.
+  void Sleep(gpMillis aTime) { now_ += aTime; }
+
+  int starts_ = 0;
+  int closedLinks_ = 0;
   int stops_ = 0;
   int looks_ = 0;
 
@@ -134,3 +143,41 @@
   guard.RunFor(gpMillis(3), gpOrderReply::Accepted);
   BOOST_TEST(guard.looks_ >= 1);
 }
+
+// What an entry ordered before the guard was paused is void: the entry has
+// given the guard up meanwhile.
+BOOST_AUTO_TEST_CASE(AGuardThatWasPausedCarriesOutNoOrderFromBefore)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.Sleep(gpMillis(2000));
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 0);
+  BOOST_TEST(guard.closedLinks_ == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AGuardThatHasJustStartedGivesALeavingTargetNothing)
+{
+  GuardWithTarget guard(true);
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ALateHeartbeatDoesntBringALeavingTargetBack)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.Feed(gpTargetHeard{ MakeTarget(3, true) });
+  guard.Feed(gpTargetHeard{ MakeTarget(2) });
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AHealthyTargetGetsTheRun)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 1);
+}
