Entry: Send callers away with their answers before a shutdown refuses

Cause: an open connection stays with its entry, also when that isn't ready any more. At a rolling restart callers went on using theirs, and all their jobs were refused (shutting_down) in the last 0.5 to 1.6 s.

Ruled out: closing idle connections (a request may be on its way and would be cut); sending callers away at once (the balancer would bring them back to the same entry, as it takes two looks to notice).

Change: 2.2 s after the request to end each connection is closed with its next answer (Connection: close). Within the last 1.6 s a job is refused only if twice its expected length doesn't fit; before, all were.

--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -281,6 +281,10 @@
   if (gpLeaseNode::Carry(aEffect, [this] { Reduce(gpTimePassed{}); })) {
     return;
   }
+  if (std::holds_alternative<gpSendCallersAway>(aEffect)) {
+    callers_.CloseAfterAnswers();
+    return;
+  }
   const auto* answer = std::get_if<gpAnswerLeaseJob>(&aEffect);
   if (answer == nullptr) {
     return; // an effect that only guards have
--- a/Source/Lease/gpEntryFinder.cxx
+++ b/Source/Lease/gpEntryFinder.cxx
@@ -52,7 +52,7 @@
 }
 
 void
-gpEntryFinder::OnLinked(const gpAddress& aEntry, gpLinkId aLink, gpTime)
+gpEntryFinder::OnLinked(const gpAddress& aEntry, gpLinkId aLink)
 {
   links_.insert_or_assign(aLink, aEntry);
   Dial& dial = dials_[aEntry];
--- a/Source/Lease/gpEntryFinder.h
+++ b/Source/Lease/gpEntryFinder.h
@@ -39,7 +39,7 @@
   void Keep(const std::vector<gpAddress>& aEntries);
   /// Entries that were found elsewhere.
   void Hear(const std::vector<gpKnownEntry>& aEntries);
-  void OnLinked(const gpAddress& aEntry, gpLinkId aLink, gpTime aNow);
+  void OnLinked(const gpAddress& aEntry, gpLinkId aLink);
   void OnLost(gpLinkId aLink, gpTime aNow);
   void OnDialFailed(const gpAddress& aEntry, gpTime aNow);
   /// Watches the entries that are wanted now. To be called after each event;
--- a/Source/Lease/gpEntryLinks.cxx
+++ b/Source/Lease/gpEntryLinks.cxx
@@ -17,10 +17,9 @@
 void
 gpEntryLinks::Open(gpLinkId aLink,
                    const gpAddress& aAddress,
-                   gpIncarnation aEntry,
-                   gpTime aNow)
+                   gpIncarnation aEntry)
 {
-  finder_.OnLinked(aAddress, aLink, aNow);
+  finder_.OnLinked(aAddress, aLink);
   links_[aLink].entry_ = aEntry;
 }
 
--- a/Source/Lease/gpEntryLinks.h
+++ b/Source/Lease/gpEntryLinks.h
@@ -32,10 +32,7 @@
 
   /// Finds the entries to link with.
   gpEntryFinder& GetFinder() { return finder_; }
-  void Open(gpLinkId aLink,
-            const gpAddress& aAddress,
-            gpIncarnation aEntry,
-            gpTime aNow);
+  void Open(gpLinkId aLink, const gpAddress& aAddress, gpIncarnation aEntry);
   /// The entry of the closed link, if the link was known.
   std::optional<gpIncarnation> Close(gpLinkId aLink, gpTime aNow);
   std::vector<gpLinkId> CloseAll(gpTime aNow);
--- a/Source/Lease/gpEntryPeers.cxx
+++ b/Source/Lease/gpEntryPeers.cxx
@@ -1,10 +1,10 @@
 #include "gpEntryPeers.h"
 
 void
-gpEntryPeers::OnLinked(const gpLinkOpened& aEvent, gpTime aNow)
+gpEntryPeers::OnLinked(const gpLinkOpened& aEvent)
 {
   if (aEvent.dialed_.has_value()) {
-    finder_.OnLinked(*aEvent.dialed_, aEvent.link_, aNow);
+    finder_.OnLinked(*aEvent.dialed_, aEvent.link_);
     return;
   }
   accepted_.insert(aEvent.link_);
--- a/Source/Lease/gpEntryPeers.h
+++ b/Source/Lease/gpEntryPeers.h
@@ -23,7 +23,7 @@
   void Keep(const std::vector<gpAddress>& aEntries) { finder_.Keep(aEntries); }
   void Hear(const gpEntryNews& aNews) { finder_.Hear(aNews.entries_); }
   /// A link with another entry is open; the address is set if it was dialed.
-  void OnLinked(const gpLinkOpened& aEvent, gpTime aNow);
+  void OnLinked(const gpLinkOpened& aEvent);
   void OnLost(gpLinkId aLink, gpTime aNow);
   void OnDialFailed(const gpAddress& aEntry, gpTime aNow)
   {
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -5,6 +5,7 @@
 
 #include "gpLeaseLines.h"
 #include "gpLeaseOverdue.h"
+#include "gpScaled.h"
 
 namespace {
 
@@ -12,8 +13,16 @@
 constexpr gpMillis kTick{ 20 };
 /// Callers that are refused at a shutdown find another entry in this time.
 constexpr gpMillis kShutdownRetry{ 1000 };
-/// Within the time for a shutdown, this last part takes no new jobs.
+/// A balancer that looks once a second, and twice before it believes, gives an
+/// entry that isn't ready no more connections after this time.
+constexpr gpMillis kBalancerTime{ 2200 };
+/// Within the time for a shutdown, the process ends in this last part as soon
+/// as it has no jobs; before that, callers still come.
 constexpr gpMillis kLastJobsTime{ 1600 };
+/// A job ends before a shutdown does if it has so many times its expected
+/// length, and the pause.
+constexpr double kShutdownMargin = 2.0;
+constexpr gpMillis kShutdownPause{ 200 };
 
 } // namespace
 
@@ -89,12 +98,7 @@
 {
   const gpQueue* queue = queues_.Find(aEvent.job_.host_, aEvent.job_.path_);
   const bool isConfigured = queues_.version_ != gpConfigVersion{};
-  auto refusal = admission_.FindRefusal(aEvent.job_, queue, isConfigured);
-  if (!refusal.has_value() && IsEnding()) {
-    refusal = gpLeaseAnswer{ gpLeaseOutcome::NotRun,
-                             gpLeaseReason::ShuttingDown,
-                             kShutdownRetry };
-  }
+  const auto refusal = admission_.FindRefusal(aEvent.job_, queue, isConfigured);
   if (refusal.has_value()) {
     Refuse(aEvent, *refusal);
     return;
@@ -109,6 +113,12 @@
     return;
   }
   gpLeaseRecord record = admission_.MakeRecord(aEvent, *queue, now_);
+  if (!EndsBeforeShutdown(record)) {
+    Refuse(
+      aEvent,
+      { gpLeaseOutcome::NotRun, gpLeaseReason::ShuttingDown, kShutdownRetry });
+    return;
+  }
   const gpMillis wait = admission_.PredictWait(record);
   if (now_ + wait > record.startBy_) {
     Refuse(aEvent, admission_.RefuseOverloaded(record));
@@ -170,7 +180,7 @@
     guards_.insert_or_assign(aEvent.link_, peer.incarnation_);
     board_.OnLinked(peer.incarnation_, aEvent.link_);
   } else {
-    peers_.OnLinked(aEvent, now_);
+    peers_.OnLinked(aEvent);
   }
   out_.Send(aEvent.link_, peers_.MakeNews(now_));
 }
@@ -392,6 +402,17 @@
   EndJob(aJob, { gpLeaseOutcome::Failed, aReason, std::nullopt });
 }
 
+bool
+gpLeaseEntryReducer::EndsBeforeShutdown(const gpLeaseRecord& aJob) const
+{
+  if (shutdownAt_ == gpTime::max()) {
+    return true;
+  }
+  const gpMillis length =
+    gpScaled(aJob.GetChain(), kShutdownMargin) + kShutdownPause;
+  return !stopped_ && now_ + length <= shutdownAt_ + options_.shutdown_;
+}
+
 bool
 gpLeaseEntryReducer::IsEnding() const
 {
@@ -406,6 +427,11 @@
     return;
   }
   const gpTime end = shutdownAt_ + options_.shutdown_;
+  const gpTime awayAt =
+    std::min<gpTime>(shutdownAt_ + kBalancerTime, end - kLastJobsTime);
+  if (now_ >= awayAt && !std::exchange(callersSentAway_, true)) {
+    out_.Add(gpSendCallersAway{});
+  }
   if (now_ >= end) {
     AnswerAll();
   }
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -91,7 +91,9 @@
   void GiveUpLate();
   void GiveUpOrRecall(gpLeaseRecord& aJob);
   void LoseGuard(gpIncarnation aGuard);
-  /// Whether no more jobs are taken in, as the process ends soon.
+  /// Whether the job can be expected to end before this process does.
+  bool EndsBeforeShutdown(const gpLeaseRecord& aJob) const;
+  /// Whether the process ends as soon as it has no jobs.
   bool IsEnding() const;
   void ContinueShutdown();
   /// The time for the shutdown is over: gives up the jobs that are left.
@@ -115,5 +117,6 @@
   gpTime shutdownAt_ = gpTime::max();
   /// Whether the event may have made a task placeable that wasn't.
   bool mayPlace_ = false;
+  bool callersSentAway_ = false;
   bool stopped_ = false;
 };
--- a/Source/Lease/gpLeaseEvent.h
+++ b/Source/Lease/gpLeaseEvent.h
@@ -176,6 +176,11 @@
   gpLeaseAnswer answer_;
 };
 
+/// Closes each caller's connection with its next answer, so that the caller
+/// comes back at another entry.
+struct gpSendCallersAway
+{};
+
 /// Closes a link; gpLinkLost doesn't follow.
 struct gpCloseLink
 {
@@ -222,6 +227,7 @@
                                    gpWriteTimeline,
                                    gpStop,
                                    gpAnswerLeaseJob,
+                                   gpSendCallersAway,
                                    gpStartRun,
                                    gpStopRun,
                                    gpLookAtTarget>;
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -93,7 +93,7 @@
     return;
   }
   const gpIncarnation entry = aEvent.peer_.incarnation_;
-  links_.Open(aEvent.link_, *aEvent.dialed_, entry, now_);
+  links_.Open(aEvent.link_, *aEvent.dialed_, entry);
   out_.Send(aEvent.link_, gpRunsHeld{ runs_.ListOf(entry) });
 }
 
--- a/Source/Runtime/gpHttpServer.cxx
+++ b/Source/Runtime/gpHttpServer.cxx
@@ -93,6 +93,7 @@
   std::size_t unsettled_ = 0;
   std::function<void()> drained_;
   bool draining_ = false;
+  bool closesAfterAnswers_ = false;
   bool stopped_ = false;
 };
 
@@ -316,7 +317,7 @@
 gpHttpServer::Respond(gpRequestId aRequest, gpHttpResponse aResponse)
 {
   if (const auto session = impl_->TakeRequest(aRequest)) {
-    session->Respond(std::move(aResponse));
+    session->Respond(std::move(aResponse), !impl_->closesAfterAnswers_);
   }
 }
 
@@ -328,6 +329,12 @@
   }
 }
 
+void
+gpHttpServer::CloseAfterAnswers()
+{
+  impl_->closesAfterAnswers_ = true;
+}
+
 void
 gpHttpServer::Drain(std::function<void()> aDrained)
 {
--- a/Source/Runtime/gpHttpServer.h
+++ b/Source/Runtime/gpHttpServer.h
@@ -57,6 +57,9 @@
   /// Closes the connection of a request without an answer; callerGone isn't
   /// called. Ignored if the caller is gone.
   void Abort(gpRequestId aRequest);
+  /// From now on closes each connection after its answer, so that callers come
+  /// back over their balancer. New connections are taken, and closed alike.
+  void CloseAfterAnswers();
   /// Takes no more connections; closes each kept one after its answer. The
   /// handler is called when all responses have been written.
   void Drain(std::function<void()> aDrained);
--- a/Source/Runtime/gpHttpSession.cxx
+++ b/Source/Runtime/gpHttpSession.cxx
@@ -358,10 +358,11 @@
 }
 
 void
-gpHttpSession::Respond(gpHttpResponse aResponse)
+gpHttpSession::Respond(gpHttpResponse aResponse, bool aMayKeep)
 {
   if (impl_->state_ == State::Waiting) {
-    impl_->Write(std::move(aResponse), impl_->keepAlive_ && !impl_->draining_);
+    impl_->Write(std::move(aResponse),
+                 aMayKeep && impl_->keepAlive_ && !impl_->draining_);
   }
 }
 
--- a/Source/Runtime/gpHttpSession.h
+++ b/Source/Runtime/gpHttpSession.h
@@ -49,8 +49,9 @@
   void Start();
   /// Answers without having read a request, then closes.
   void Refuse(gpHttpRefusal aRefusal);
-  /// Answers the request that waits; ignored if there is none.
-  void Respond(gpHttpResponse aResponse);
+  /// Answers the request that waits; ignored if there is none. Closes the
+  /// connection then if aMayKeep isn't set, or the caller asked for it.
+  void Respond(gpHttpResponse aResponse, bool aMayKeep);
   /// Closes after the answer of the request at hand, or when no request
   /// arrives within a short grace time.
   void Drain();
--- a/Tests/Lease/testEntryFinder.cxx
+++ b/Tests/Lease/testEntryFinder.cxx
@@ -133,7 +133,7 @@
       }
       ++dials_;
       if (up_.contains(entry)) {
-        finder_.OnLinked(entry, gpLinkId(++lastLink_), now_);
+        finder_.OnLinked(entry, gpLinkId(++lastLink_));
         finder_.Hear(entries_);
       } else {
         finder_.OnDialFailed(entry, now_);
@@ -338,11 +338,11 @@
   gpLeaseEffects out;
   links.GetFinder().Keep({ order[1] });
   links.Update(runs, now, out);
-  links.Open(oldLink, order[1], oldEntry, now);
+  links.Open(oldLink, order[1], oldEntry);
   links.GetFinder().Keep(order);
   links.Update(runs, now, out);
   BOOST_TEST(!links.IsSurplus(oldLink));
-  links.Open(newLink, order[0], gpIncarnation(12), now);
+  links.Open(newLink, order[0], gpIncarnation(12));
   links.Update(runs, now, out);
   BOOST_TEST(links.IsSurplus(oldLink));
   // Its entry is told that it gets no more work; the other one isn't.
--- a/Tests/Lease/testLeaseEntry.cxx
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -47,7 +47,8 @@
 class EntryWithGuard
 {
 public:
-  EntryWithGuard()
+  explicit EntryWithGuard(gpMillis aShutdown = kShutdown)
+    : entry_(Options(aShutdown))
   {
     Feed(gpQueuesChanged{ MakeQueues() });
     gpLinkOpened opened;
@@ -76,6 +77,8 @@
             ordered_.end(), order->runs_.begin(), order->runs_.end());
         }
       }
+      sentAway_ =
+        sentAway_ || std::holds_alternative<gpSendCallersAway>(effect);
       stopped_ = stopped_ || std::holds_alternative<gpStop>(effect);
     }
   }
@@ -95,20 +98,21 @@
 
   std::map<gpRequestId, gpLeaseAnswer> answers_;
   std::vector<gpRunId> ordered_;
+  bool sentAway_ = false;
   bool stopped_ = false;
 
 private:
-  static gpLeaseEntryOptions Options()
+  static gpLeaseEntryOptions Options(gpMillis aShutdown)
   {
     gpLeaseEntryOptions options;
     options.self_.dataCentre_ = gpDataCentreName("dc-1");
     options.firstRun_ = 1;
-    options.shutdown_ = kShutdown;
+    options.shutdown_ = aShutdown;
     return options;
   }
 
   gpTime now_{ gpMillis(1000) };
-  gpLeaseEntryReducer entry_{ Options() };
+  gpLeaseEntryReducer entry_;
 };
 
 } // namespace
@@ -162,3 +166,48 @@
   BOOST_TEST(
     (entry.answers_.at(gpRequestId(1)).outcome_ == gpLeaseOutcome::NotRun));
 }
+
+// Pattern: connection draining. Callers keep their connections to an entry that
+// isn't ready any more; those that are still there when it refuses new jobs
+// would be turned away for nothing.
+BOOST_AUTO_TEST_CASE(CallersAreSentAwayWhileTheirJobsAreStillTakenIn)
+{
+  constexpr gpMillis grace(5100);
+  EntryWithGuard entry(grace);
+  entry.Feed(gpShutdownRequested{});
+  // The balancer takes two looks, a second apart, to send no more connections.
+  entry.Pass(gpMillis(2000));
+  BOOST_TEST(!entry.sentAway_);
+  entry.Pass(gpMillis(300));
+  BOOST_TEST(entry.sentAway_);
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("job") });
+  BOOST_TEST(entry.ordered_.size() == 1U);
+  entry.EndRun(gpRunEnd::Done);
+  BOOST_TEST(
+    (entry.answers_.at(gpRequestId(1)).outcome_ == gpLeaseOutcome::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(AtAShutdownOnlyJobsThatCantEndInTimeAreRefused)
+{
+  constexpr gpMillis grace(5100);
+  EntryWithGuard entry(grace);
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("first") });
+  entry.Feed(gpShutdownRequested{});
+  entry.Pass(grace - gpMillis(700));
+  gpLeaseJob longer = MakeJob("longer");
+  longer.steps_[0].estimate_ = gpMillis(900);
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(2), longer });
+  BOOST_REQUIRE(entry.answers_.contains(gpRequestId(2)));
+  const gpLeaseAnswer& refusal = entry.answers_.at(gpRequestId(2));
+  BOOST_TEST((refusal.outcome_ == gpLeaseOutcome::NotRun));
+  BOOST_TEST((refusal.reason_ == gpLeaseReason::ShuttingDown));
+  BOOST_TEST(refusal.retryAfter_.has_value());
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(3), MakeJob("short") });
+  BOOST_TEST(!entry.answers_.contains(gpRequestId(3)));
+  // With its last job the process ends, and takes no more.
+  entry.Feed(gpLeaseJobCancelled{ "first" });
+  entry.Feed(gpLeaseJobCancelled{ "short" });
+  BOOST_TEST(entry.stopped_);
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(4), MakeJob("late") });
+  BOOST_TEST(entry.answers_.contains(gpRequestId(4)));
+}
--- a/Tests/Runtime/testHttpServer.cxx
+++ b/Tests/Runtime/testHttpServer.cxx
@@ -270,6 +270,28 @@
   gpRunUntil(loop_, [&] { return drained; });
 }
 
+BOOST_FIXTURE_TEST_CASE(CallersAreSentAwayWithTheirAnswers, Fixture)
+{
+  gpRawCaller kept(loop_, address_);
+  kept.Send(kGet);
+  AwaitRequests(1);
+  server_->Respond(ids_[0], Answer("one"));
+  BOOST_TEST(kept.ReadUntil("one").find("close") == std::string::npos);
+  server_->CloseAfterAnswers();
+  // A connection without a request stays until it has had another answer.
+  kept.Send(kGet);
+  AwaitRequests(2);
+  server_->Respond(ids_[1], Answer("two"));
+  const std::string last = kept.ReadToEnd();
+  BOOST_TEST(last.find("Connection: close\r\n") != std::string::npos);
+  BOOST_TEST(last.ends_with("two"));
+  gpRawCaller late(loop_, address_);
+  late.Send(kGet);
+  AwaitRequests(3);
+  server_->Respond(ids_[2], Answer("three"));
+  BOOST_TEST(late.ReadToEnd().ends_with("three"));
+}
+
 BOOST_FIXTURE_TEST_CASE(DrainServesConnectionsThatWaitToBeAccepted, Fixture)
 {
   gpRawCaller caller(loop_, address_);
