--- a/Tests/Lease/testLeaseEntry.cxx
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -12,6 +12,8 @@
 const gpLinkId kLink(1);
 const gpIncarnation kGuard(7);
 constexpr gpMillis kShutdown{ 3000 };
+/// Longer than it takes a balancer to send no more connections.
+constexpr gpMillis kLongShutdown{ 5100 };
 constexpr gpMillis kPatience{ 20000 };
 
 gpQueueTable
@@ -172,8 +174,7 @@
 // would be turned away for nothing.
 BOOST_AUTO_TEST_CASE(CallersAreSentAwayWhileTheirJobsAreStillTakenIn)
 {
-  constexpr gpMillis grace(5100);
-  EntryWithGuard entry(grace);
+  EntryWithGuard entry(kLongShutdown);
   entry.Feed(gpShutdownRequested{});
   // The balancer takes two looks, a second apart, to send no more connections.
   entry.Pass(gpMillis(2000));
@@ -189,11 +190,10 @@
 
 BOOST_AUTO_TEST_CASE(AtAShutdownOnlyJobsThatCantEndInTimeAreRefused)
 {
-  constexpr gpMillis grace(5100);
-  EntryWithGuard entry(grace);
+  EntryWithGuard entry(kLongShutdown);
   entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("first") });
   entry.Feed(gpShutdownRequested{});
-  entry.Pass(grace - gpMillis(700));
+  entry.Pass(kLongShutdown - gpMillis(700));
   gpLeaseJob longer = MakeJob("longer");
   longer.steps_[0].estimate_ = gpMillis(900);
   entry.Feed(gpLeaseJobSubmitted{ gpRequestId(2), longer });
