Tests: Count the afterlife of a run from its start if that was late

The trace: guard 3 orders and stops the run at 101.4 s, its target crashes at 103.9 s, the guard is killed at 104.4 s, the next incarnation of the target takes the late order at 105.4 s.

The check still asks that each run is over 3 s after its start or after its caller has left, whichever is later.

--- a/Tests/Lease/gpLeaseHistory.h
+++ b/Tests/Lease/gpLeaseHistory.h
@@ -168,7 +168,8 @@
   std::map<gpRunId, gpRequestId> ordered_;
   std::map<gpRunId, gpResources> needs_;
   std::map<std::string, gpRequestId> newest_;
-  std::set<gpRunId> started_;
+  /// When each run was started.
+  std::map<gpRunId, gpTime> started_;
   std::set<gpRequestId> notRun_;
   std::map<std::string, std::set<std::string>> doneTasks_;
   std::vector<std::string> broken_;
