Entry: Drop a job whose caller has left before it is taken in

A play with logs shows that a caller whose connection is reset sends its job to another entry 5 ms later. The former entry is behind with 1,600 lost links, takes the job in although the reset has arrived, orders its runs, and cancels them when it reads on.

Ruled out: the guards (the first run went on to its end, so its guard never took it for a stranger), links that move (no order was given on one).

Change: before a job is taken in, the entry looks whether its connection is still open. A test of the server fails without the look.

--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "gpEntryRecord.h"
+#include "gpLeaseLines.h"
 
 namespace {
 
@@ -112,10 +113,25 @@
 void
 gpLeaseEntryProcess::OnCall(gpRequestId aRequest, gpLeaseJob aJob)
 {
+  if (callers_.HasCallerLeft(aRequest)) {
+    // It may have sent the job to another entry by now.
+    DropJob(aRequest, aJob.id_);
+    return;
+  }
   receivedAt_.insert_or_assign(aRequest, gpEventLoop::Now());
   Reduce(gpLeaseJobSubmitted{ aRequest, std::move(aJob) });
 }
 
+void
+gpLeaseEntryProcess::DropJob(gpRequestId aRequest, const std::string& aJob)
+{
+  Write(gpJobLine(gpEventKind::CallerGone,
+                  gpServiceName(),
+                  aJob,
+                  "before its job was taken in"));
+  callers_.Abort(aRequest);
+}
+
 bool
 gpLeaseEntryProcess::RefuseUnknown(gpRequestId aRequest,
                                    const std::string& aHost,
--- a/Source/Entry/gpLeaseEntryProcess.h
+++ b/Source/Entry/gpLeaseEntryProcess.h
@@ -33,6 +33,8 @@
   void OnCall(gpRequestId aRequest, const gpJobStateCall& aCall);
   void OnCall(gpRequestId aRequest, const gpJobCancelCall& aCall);
   void OnCall(gpRequestId aRequest, const gpPendingCall& aCall);
+  /// Drops a job whose caller has left before it was taken in.
+  void DropJob(gpRequestId aRequest, const std::string& aJob);
   /// Answers a question about a queue that isn't there. False if it is.
   bool RefuseUnknown(gpRequestId aRequest,
                      const std::string& aHost,
--- a/Source/Runtime/gpHttpServer.cxx
+++ b/Source/Runtime/gpHttpServer.cxx
@@ -321,6 +321,13 @@
   }
 }
 
+bool
+gpHttpServer::HasCallerLeft(gpRequestId aRequest) const
+{
+  const auto entry = impl_->requests_.find(aRequest);
+  return entry == impl_->requests_.end() || entry->second->HasCallerLeft();
+}
+
 void
 gpHttpServer::Abort(gpRequestId aRequest)
 {
--- a/Source/Runtime/gpHttpServer.h
+++ b/Source/Runtime/gpHttpServer.h
@@ -54,6 +54,9 @@
   absl::StatusOr<gpAddress> Listen(const gpAddress& aAddress);
   /// Answers a request once; ignored if the caller is gone.
   void Respond(gpRequestId aRequest, gpHttpResponse aResponse);
+  /// Whether the caller has closed or reset its connection already; callerGone
+  /// follows on a later turn of the loop.
+  bool HasCallerLeft(gpRequestId aRequest) const;
   /// Closes the connection of a request without an answer; callerGone isn't
   /// called. Ignored if the caller is gone.
   void Abort(gpRequestId aRequest);
--- a/Source/Runtime/gpHttpSession.cxx
+++ b/Source/Runtime/gpHttpSession.cxx
@@ -366,6 +366,17 @@
   }
 }
 
+bool
+gpHttpSession::HasCallerLeft()
+{
+  char byte = 0;
+  error_code error;
+  impl_->socket_.non_blocking(true, error);
+  impl_->socket_.receive(
+    boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error && error != boost::asio::error::would_block;
+}
+
 void
 gpHttpSession::Drain()
 {
--- a/Source/Runtime/gpHttpSession.h
+++ b/Source/Runtime/gpHttpSession.h
@@ -52,6 +52,9 @@
   /// Answers the request that waits; ignored if there is none. Closes the
   /// connection then if aMayKeep isn't set, or the caller asked for it.
   void Respond(gpHttpResponse aResponse, bool aMayKeep);
+  /// Whether the caller has closed or reset the connection, as the system knows
+  /// now; what it sent before may not have been read yet.
+  bool HasCallerLeft();
   /// Closes after the answer of the request at hand, or when no request
   /// arrives within a short grace time.
   void Drain();
--- a/Tests/Runtime/testHttpServer.cxx
+++ b/Tests/Runtime/testHttpServer.cxx
@@ -270,6 +270,30 @@
   gpRunUntil(loop_, [&] { return drained; });
 }
 
+BOOST_FIXTURE_TEST_CASE(ACallerThatHasLeftIsKnownWithItsRequest, Fixture)
+{
+  gpRawCaller stays(loop_, address_);
+  stays.Send(kGet);
+  AwaitRequests(1);
+  BOOST_TEST(!server_->HasCallerLeft(ids_[0]));
+  bool hadLeft = false;
+  server_.emplace(
+    loop_,
+    gpHttpLimits(),
+    gpHttpServer::Handlers{ [&](gpRequestId aId, const gpHttpRequest&) {
+                             hadLeft = server_->HasCallerLeft(aId);
+                             ids_.push_back(aId);
+                           },
+                            [](gpRequestId) {} });
+  address_ = *server_->Listen(gpAddress("127.0.0.1:0"));
+  {
+    gpRawCaller leaves(loop_, address_);
+    leaves.Send(kGet);
+  }
+  AwaitRequests(2);
+  BOOST_TEST(hadLeft);
+}
+
 BOOST_FIXTURE_TEST_CASE(CallersAreSentAwayWithTheirAnswers, Fixture)
 {
   gpRawCaller kept(loop_, address_);
