Lease: Place tasks by what an event has changed

Cause, the second: after each event an entry tried to place up to 16 waiting tasks, at all of its targets, twice over. While room is short there are always waiting tasks, so each report of a guard cost some hundred times as much as on a calm second, just when more of them came.

Tasks wait because no target had room for them. So a new job, or a task that came back, is tried at all targets; when a target has more room, the waiting tasks are tried at that one; all pairs are tried on the tick of 20 ms only, for what changes with time. The fastest target of a service is kept for 20 ms.

--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -276,7 +276,8 @@
   return R"(,"jobs":)" + std::to_string(status.jobs_) + R"(,"waiting":)" +
          std::to_string(status.waiting_) + R"(,"guards":)" +
          std::to_string(status.guards_) + R"(,"entries":)" +
-         std::to_string(status.entries_);
+         std::to_string(status.entries_) + R"(,"targets_looked_at":)" +
+         std::to_string(status.looks_);
 }
 
 template<typename Input>
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -39,11 +39,7 @@
 gpLeaseEntryReducer::Reduce(const gpLeaseEntryEvent& aEvent)
 {
   now_ = aEvent.now_;
-  mayPlace_ = true;
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
-  if (mayPlace_) {
-    dispatcher_.Dispatch(now_, out_);
-  }
   dispatcher_.Flush(out_);
   peers_.Update(guards_, now_, out_);
   ContinueShutdown();
@@ -60,6 +56,7 @@
   status.waiting_ = jobs_.GetWaiting().size();
   status.guards_ = guards_.size();
   status.entries_ = peers_.CountDialed();
+  status.looks_ = board_.CountLooks();
   status.ready_ = queues_.version_ != gpConfigVersion{} && !guards_.empty() &&
                   shutdownAt_ == gpTime::max();
   return status;
@@ -124,10 +121,11 @@
     Refuse(aEvent, admission_.RefuseOverloaded(record));
     return;
   }
-  const gpLeaseRecord& job = jobs_.Add(std::move(record));
+  gpLeaseRecord& job = jobs_.Add(std::move(record));
   WriteJob(gpEventKind::JobAdmitted,
            job,
            gpAdmittedText(job, queues_.version_, wait, now_));
+  dispatcher_.DispatchJob(job, now_, out_);
 }
 
 void
@@ -247,8 +245,6 @@
                         guard->second,
                         gpRunEndName(aMessage.end_)));
   if (aMessage.end_ == gpRunEnd::Done) {
-    // The room that it leaves is told with another message.
-    mayPlace_ = job->job_.steps_.size() > 1;
     OnTaskDone(*job, index);
   } else {
     OnTaskBack(*job, index, aMessage.end_);
@@ -265,7 +261,11 @@
            { gpLeaseOutcome::Completed, gpLeaseReason::None, std::nullopt });
     return;
   }
-  jobs_.Unblock(aJob);
+  // The room that it leaves is told with another message.
+  if (aJob.job_.steps_.size() > 1) {
+    jobs_.Unblock(aJob);
+    dispatcher_.DispatchJob(aJob, now_, out_);
+  }
 }
 
 void
@@ -289,6 +289,7 @@
     task.avoid_.insert(task.guard_);
   }
   jobs_.TakeBack(aJob, aTask, gpLeaseTaskPhase::Waiting);
+  dispatcher_.DispatchJob(aJob, now_, out_);
 }
 
 void
@@ -313,6 +314,7 @@
   const auto guard = guards_.find(aLink);
   if (guard != guards_.end()) {
     board_.OnNews(guard->second, aMessage);
+    dispatcher_.Dispatch(now_, out_);
   }
 }
 
@@ -320,8 +322,8 @@
 gpLeaseEntryReducer::OnMessage(gpLinkId aLink, const gpRoomReport& aMessage)
 {
   const auto guard = guards_.find(aLink);
-  if (guard != guards_.end()) {
-    mayPlace_ = board_.OnRoom(guard->second, aMessage, now_);
+  if (guard != guards_.end() && board_.OnRoom(guard->second, aMessage, now_)) {
+    dispatcher_.DispatchAt(guard->second, now_, out_);
   }
 }
 
@@ -335,6 +337,7 @@
 gpLeaseEntryReducer::On(const gpTimePassed&)
 {
   GiveUpLate();
+  dispatcher_.Dispatch(now_, out_);
 }
 
 void
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -38,6 +38,8 @@
   std::size_t waiting_ = 0;
   std::size_t guards_ = 0;
   std::size_t entries_ = 0;
+  /// Targets looked at to place tasks, since the start.
+  std::uint64_t looks_ = 0;
   bool ready_ = false;
 };
 
@@ -115,8 +117,6 @@
   std::map<gpLinkId, gpIncarnation> guards_;
   gpTime wakeAt_;
   gpTime shutdownAt_ = gpTime::max();
-  /// Whether the event may have made a task placeable that wasn't.
-  bool mayPlace_ = false;
   bool callersSentAway_ = false;
   bool stopped_ = false;
 };
--- a/Source/Lease/gpRunDispatcher.cxx
+++ b/Source/Lease/gpRunDispatcher.cxx
@@ -17,22 +17,52 @@
 void
 gpRunDispatcher::Dispatch(gpTime aNow, gpLeaseEffects& aOut)
 {
+  DispatchWaiting(
+    [&](const gpPlacementNeed& aNeed) { return board_.Choose(aNeed, aNow); },
+    aNow,
+    aOut);
+}
+
+void
+gpRunDispatcher::DispatchAt(gpIncarnation aGuard,
+                            gpTime aNow,
+                            gpLeaseEffects& aOut)
+{
+  DispatchWaiting(
+    [&](const gpPlacementNeed& aNeed) {
+      return board_.Accepts(aGuard, aNeed, aNow) ? std::optional(aGuard)
+                                                 : std::nullopt;
+    },
+    aNow,
+    aOut);
+}
+
+void
+gpRunDispatcher::DispatchWaiting(const Placement& aPlace,
+                                 gpTime aNow,
+                                 gpLeaseEffects& aOut)
+{
+  const auto& waiting = jobs_.GetWaiting();
   // One count for tasks that need a fast target, one for the others.
   std::array<int, 2> misses{};
   std::uint64_t missedJob = 0;
-  auto next = jobs_.GetWaiting().begin();
-  while (next != jobs_.GetWaiting().end()) {
+  auto next = waiting.begin();
+  while (next != waiting.end()) {
     const auto [hasChoice, dueAt, sequence, index] = *next++;
     int& missed = misses.at(hasChoice ? 1 : 0);
-    if (sequence == missedJob || missed >= kMostMisses) {
+    if (missed >= kMostMisses) {
+      if (hasChoice) {
+        return;
+      }
+      // The others have the rest of the targets.
+      next = waiting.lower_bound({ true, gpTime::min(), 0, 0 });
+      continue;
+    }
+    if (sequence == missedJob) {
       continue;
     }
     gpLeaseRecord& job = *jobs_.Find(sequence);
-    const gpLeaseTask& task = job.tasks_[index];
-    gpPlacementNeed need =
-      gpLeaseAdmission::NeedOf(job, job.GetStep(task), aNow);
-    need.avoid_ = task.avoid_;
-    const auto guard = board_.Choose(need, aNow);
+    const auto guard = aPlace(NeedOf(job, index, aNow));
     if (guard.has_value()) {
       SendRun(job, index, *guard, aNow, aOut);
     } else {
@@ -42,6 +72,35 @@
   }
 }
 
+void
+gpRunDispatcher::DispatchJob(gpLeaseRecord& aJob,
+                             gpTime aNow,
+                             gpLeaseEffects& aOut)
+{
+  for (std::size_t index = 0; index < aJob.tasks_.size(); ++index) {
+    if (aJob.tasks_[index].phase_ != gpLeaseTaskPhase::Waiting) {
+      continue;
+    }
+    const auto guard = board_.Choose(NeedOf(aJob, index, aNow), aNow);
+    if (!guard.has_value()) {
+      return;
+    }
+    SendRun(aJob, index, *guard, aNow, aOut);
+  }
+}
+
+gpPlacementNeed
+gpRunDispatcher::NeedOf(const gpLeaseRecord& aJob,
+                        std::size_t aTask,
+                        gpTime aNow)
+{
+  const gpLeaseTask& task = aJob.tasks_[aTask];
+  gpPlacementNeed need =
+    gpLeaseAdmission::NeedOf(aJob, aJob.GetStep(task), aNow);
+  need.avoid_ = task.avoid_;
+  return need;
+}
+
 void
 gpRunDispatcher::SendRun(gpLeaseRecord& aJob,
                          std::size_t aTask,
--- a/Source/Lease/gpRunDispatcher.h
+++ b/Source/Lease/gpRunDispatcher.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
+#include <optional>
 
 #include "gpLeaseAdmission.h"
 #include "gpLeaseEvent.h"
@@ -11,6 +13,12 @@
 /** \class gpRunDispatcher
  * \brief Sends an entry's waiting tasks to targets with room, and takes runs
  * back.
+ *
+ * Pattern: incremental matching. Tasks wait because no target had room for
+ * them, so an event makes only those pairs of task and target worth a look that
+ * it has changed: a new job's tasks at all targets, or the waiting tasks at the
+ * one target that has more room. What changes with time alone is looked at
+ * with all pairs, now and then. So an event costs no more when room is short.
  */
 class gpRunDispatcher
 {
@@ -25,8 +33,12 @@
   {
   }
 
-  /// Orders runs of the waiting tasks for which there is room.
+  /// Orders runs of the waiting tasks for which there is room at any target.
   void Dispatch(gpTime aNow, gpLeaseEffects& aOut);
+  /// The same for the tasks of one job.
+  void DispatchJob(gpLeaseRecord& aJob, gpTime aNow, gpLeaseEffects& aOut);
+  /// The same for the room at one target.
+  void DispatchAt(gpIncarnation aGuard, gpTime aNow, gpLeaseEffects& aOut);
   /// Sends the orders that Dispatch collected.
   void Flush(gpLeaseEffects& aOut) { orders_.Flush(aOut); }
   /// A target has seen a higher run number than it was sent.
@@ -37,6 +49,17 @@
   void Recall(gpLeaseRecord& aJob, std::size_t aTask, gpLeaseEffects& aOut);
 
 private:
+  /// Finds a target for a task; not set if it has to wait.
+  using Placement =
+    std::function<std::optional<gpIncarnation>(const gpPlacementNeed& aNeed)>;
+
+  /// Places waiting tasks in their order, until several couldn't be placed.
+  void DispatchWaiting(const Placement& aPlace,
+                       gpTime aNow,
+                       gpLeaseEffects& aOut);
+  static gpPlacementNeed NeedOf(const gpLeaseRecord& aJob,
+                                std::size_t aTask,
+                                gpTime aNow);
   void SendRun(gpLeaseRecord& aJob,
                std::size_t aTask,
                gpIncarnation aGuard,
--- a/Source/Lease/gpTargetBoard.cxx
+++ b/Source/Lease/gpTargetBoard.cxx
@@ -28,6 +28,8 @@
 constexpr double kPlacementMarginMs = 10.0;
 /// Targets of one class differ in speed by no more than this factor.
 constexpr double kClassWidth = 1.5;
+/// How long it counts which target was found to be the fastest.
+constexpr gpMillis kFastestTime{ 20 };
 /// What one class of speed counts for in keeping fast targets free.
 constexpr double kSlownessMs = 10.0;
 /// What the choice of a target counts for on which the task would be late.
@@ -110,6 +112,14 @@
   view.link_ = aLink;
   view.runsOrdered_ = 0;
   view.unreported_.clear();
+  fastest_.clear();
+}
+
+void
+gpTargetBoard::OnLost(gpIncarnation aGuard)
+{
+  views_.erase(aGuard);
+  fastest_.clear();
 }
 
 void
@@ -117,6 +127,7 @@
 {
   if (gpTargetView* view = Find(aGuard)) {
     view->news_ = aNews;
+    fastest_.clear();
   }
 }
 
@@ -180,29 +191,64 @@
 }
 
 double
-gpTargetBoard::LongestSlowness(const gpPlacementNeed& aNeed, gpTime aNow) const
+gpTargetBoard::FindFastest(const gpServiceName& aService, gpTime aNow) const
 {
   double fastest = std::numeric_limits<double>::infinity();
   for (const auto& [guard, view] : views_) {
-    if (view.news_.service_ == aNeed.service_ && MayStart(view, aNow)) {
+    if (view.news_.service_ == aService && MayStart(view, aNow)) {
       fastest = std::min(fastest, view.slowness_);
     }
   }
-  const double limit =
+  return fastest;
+}
+
+double
+gpTargetBoard::FastestSlowness(const gpServiceName& aService, gpTime aNow)
+{
+  const auto [found, isNew] = fastest_.try_emplace(aService);
+  Fastest& fastest = found->second;
+  if (isNew || aNow >= fastest.foundAt_ + kFastestTime) {
+    looks_ += views_.size();
+    fastest = { FindFastest(aService, aNow), aNow };
+  }
+  return fastest.slowness_;
+}
+
+bool
+gpTargetBoard::Accepts(const gpTargetView& aView,
+                       const gpPlacementNeed& aNeed,
+                       gpTime aNow)
+{
+  ++looks_;
+  if (aView.news_.service_ != aNeed.service_ ||
+      !aView.GetFree().Covers(aNeed.needs_) || !MayStart(aView, aNow)) {
+    return false;
+  }
+  // The slowest target on which the task may still end before its caller
+  // leaves; else one of the fastest ones has to do.
+  const double longest =
     static_cast<double>(aNeed.patience_.count()) /
     (static_cast<double>(aNeed.estimate_.count() + 1) * kLostCauseMargin);
-  return std::max(limit, fastest * kClassWidth);
+  return aView.slowness_ <= longest ||
+         aView.slowness_ <= kClassWidth * FastestSlowness(aNeed.service_, aNow);
+}
+
+bool
+gpTargetBoard::Accepts(gpIncarnation aGuard,
+                       const gpPlacementNeed& aNeed,
+                       gpTime aNow)
+{
+  const gpTargetView* view = Find(aGuard);
+  return view != nullptr && Accepts(*view, aNeed, aNow);
 }
 
 std::optional<gpIncarnation>
-gpTargetBoard::Choose(const gpPlacementNeed& aNeed, gpTime aNow) const
+gpTargetBoard::Choose(const gpPlacementNeed& aNeed, gpTime aNow)
 {
   std::optional<gpIncarnation> best;
   double bestCost = 0;
-  const double limit = LongestSlowness(aNeed, aNow);
   for (const auto& [guard, view] : views_) {
-    if (view.news_.service_ != aNeed.service_ || !MayStart(view, aNow) ||
-        !view.GetFree().Covers(aNeed.needs_) || view.slowness_ > limit) {
+    if (!Accepts(view, aNeed, aNow)) {
       continue;
     }
     double cost = CostOf(view, aNeed);
--- a/Source/Lease/gpTargetBoard.h
+++ b/Source/Lease/gpTargetBoard.h
@@ -76,7 +76,7 @@
   }
 
   void OnLinked(gpIncarnation aGuard, gpLinkId aLink);
-  void OnLost(gpIncarnation aGuard) { views_.erase(aGuard); }
+  void OnLost(gpIncarnation aGuard);
   void OnNews(gpIncarnation aGuard, const gpTargetNews& aNews);
   /// True if there may be room for more than before.
   bool OnRoom(gpIncarnation aGuard, const gpRoomReport& aRoom, gpTime aNow);
@@ -88,7 +88,11 @@
   /// so that faster ones stay free for tasks that need them; if there is none,
   /// the fastest with room. Not set if none has room.
   std::optional<gpIncarnation> Choose(const gpPlacementNeed& aNeed,
-                                      gpTime aNow) const;
+                                      gpTime aNow);
+  /// Whether the task may be placed at that target, if there is no other.
+  bool Accepts(gpIncarnation aGuard, const gpPlacementNeed& aNeed, gpTime aNow);
+  /// How many targets were looked at for tasks, since the start.
+  std::uint64_t CountLooks() const { return looks_; }
   /// Whether the task ends in time on fast targets only.
   bool NeedsFast(const gpPlacementNeed& aNeed, gpTime aNow) const;
   /// A run was sent.
@@ -115,11 +119,22 @@
 private:
   /// The median over the targets that may be given work.
   double UsualSlowness(const gpServiceName& aService, gpTime aNow) const;
-  /// The slowest target on which the task may still end before its caller
-  /// leaves; at least that of the fastest ones.
-  double LongestSlowness(const gpPlacementNeed& aNeed, gpTime aNow) const;
+  /// The least of all targets that may be given work, as it was a moment ago.
+  double FastestSlowness(const gpServiceName& aService, gpTime aNow);
+  double FindFastest(const gpServiceName& aService, gpTime aNow) const;
+  bool Accepts(const gpTargetView& aView,
+               const gpPlacementNeed& aNeed,
+               gpTime aNow);
   bool MayStart(const gpTargetView& aView, gpTime aNow) const;
 
+  struct Fastest
+  {
+    double slowness_ = 0;
+    gpTime foundAt_;
+  };
+
   gpDataCentreName dataCentre_;
   std::map<gpIncarnation, gpTargetView> views_;
+  std::map<gpServiceName, Fastest> fastest_;
+  std::uint64_t looks_ = 0;
 };
--- a/Tests/Lease/testLeaseParts.cxx
+++ b/Tests/Lease/testLeaseParts.cxx
@@ -41,7 +41,7 @@
     board_.OnRoom(guard, room, kNow);
   }
 
-  std::optional<gpIncarnation> Choose(gpMillis aEstimate) const
+  std::optional<gpIncarnation> Choose(gpMillis aEstimate)
   {
     return board_.Choose(Need(aEstimate), kNow);
   }
