Lease: Count the time for which an entry is behind as waited by its jobs

Their requests lay unread while the entry, out of processor, worked on jobs that were too late as well; admission predicts the wait for the targets only.

Wake-ups of an entry come late by as much as messages wait before they are read. If all of the last four were late, a job counts as arrived by the least of these delays earlier: what would start too late is refused at once, with the time to come back, and those that are taken in have the deadline that their callers have. A single long event, or a freeze, refuses nothing. behind_ms in the status, and the lines of refusals, show it.

Tests: AnEntryThatIsBehindRefusesWhatWouldStartTooLate (fails without the delay), OneLongEventRefusesNothing (gpTestLeaseEntry).

--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -277,7 +277,8 @@
          std::to_string(status.waiting_) + R"(,"guards":)" +
          std::to_string(status.guards_) + R"(,"entries":)" +
          std::to_string(status.entries_) + R"(,"targets_looked_at":)" +
-         std::to_string(status.looks_);
+         std::to_string(status.looks_) + R"(,"behind_ms":)" +
+         std::to_string(status.behind_.count());
 }
 
 template<typename Input>
--- a/Source/Lease/gpLeaseAdmission.cxx
+++ b/Source/Lease/gpLeaseAdmission.cxx
@@ -61,6 +61,7 @@
 gpLeaseRecord
 gpLeaseAdmission::MakeRecord(const gpLeaseJobSubmitted& aEvent,
                              const gpQueue& aQueue,
+                             gpTime aArrivedAt,
                              gpTime aNow)
 {
   gpLeaseRecord record;
@@ -70,12 +71,14 @@
     step.estimate_ = lengths_.Predict(aQueue.name_, step.estimate_);
   }
   record.queue_ = aQueue;
-  record.arrivedAt_ = aNow;
-  record.deadline_ = aNow + PatienceOf(aEvent.job_, aQueue) - kAnswerMargin;
+  record.arrivedAt_ = aArrivedAt;
+  record.deadline_ =
+    aArrivedAt + PatienceOf(aEvent.job_, aQueue) - kAnswerMargin;
   const gpMillis chain = record.GetChain();
   const gpMillis objective =
     gpScaled(chain, aQueue.stretch_) + aQueue.allowance_;
-  record.startBy_ = aNow + std::max(kShortestStartBy, objective / kStartByPart);
+  record.startBy_ =
+    aArrivedAt + std::max(kShortestStartBy, objective / kStartByPart);
   // Long jobs have to start soon, or their caller has left.
   record.dueAt_ = std::min(record.startBy_,
                            record.deadline_ - gpScaled(chain, kLengthMargin));
--- a/Source/Lease/gpLeaseAdmission.h
+++ b/Source/Lease/gpLeaseAdmission.h
@@ -31,6 +31,7 @@
   /// The job with its deadlines and the predicted lengths of its tasks.
   gpLeaseRecord MakeRecord(const gpLeaseJobSubmitted& aEvent,
                            const gpQueue& aQueue,
+                           gpTime aArrivedAt,
                            gpTime aNow);
   /// How long a job would wait for room, going by the work that comes before
   /// it; that of other kinds of target doesn't count.
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -57,6 +57,7 @@
   status.guards_ = guards_.size();
   status.entries_ = peers_.CountDialed();
   status.looks_ = board_.CountLooks();
+  status.behind_ = lag_.GetStanding();
   status.ready_ = queues_.version_ != gpConfigVersion{} && !guards_.empty() &&
                   shutdownAt_ == gpTime::max();
   return status;
@@ -86,7 +87,8 @@
                        gpServiceName(),
                        aEvent.job_.id_,
                        gpAnswerText(aAnswer) + " version " +
-                         std::to_string(queues_.version_.value_)));
+                         std::to_string(queues_.version_.value_) + " behind " +
+                         gpMillisText(lag_.GetStanding())));
   out_.Add(gpAnswerLeaseJob{ aEvent.request_, aAnswer });
 }
 
@@ -109,7 +111,10 @@
     WriteJob(gpEventKind::JobAttached, *former, "submitted again");
     return;
   }
-  gpLeaseRecord record = admission_.MakeRecord(aEvent, *queue, now_);
+  // While this process is behind, the job has waited before it was read.
+  const gpTime arrivedAt = now_ - lag_.GetStanding();
+  gpLeaseRecord record =
+    admission_.MakeRecord(aEvent, *queue, arrivedAt, now_);
   if (!EndsBeforeShutdown(record)) {
     Refuse(
       aEvent,
@@ -336,6 +341,9 @@
 void
 gpLeaseEntryReducer::On(const gpTimePassed&)
 {
+  if (wakeAt_ != gpTime{}) {
+    lag_.NoteWake(wakeAt_, now_);
+  }
   GiveUpLate();
   dispatcher_.Dispatch(now_, out_);
 }
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -10,6 +10,7 @@
 #include "gpLeaseAdmission.h"
 #include "gpLeaseEvent.h"
 #include "gpLeaseJobTable.h"
+#include "gpLoopLag.h"
 #include "gpRunDispatcher.h"
 #include "gpTargetBoard.h"
 
@@ -40,6 +41,8 @@
   std::size_t entries_ = 0;
   /// Targets looked at to place tasks, since the start.
   std::uint64_t looks_ = 0;
+  /// How long what the entry was sent waits unread.
+  gpMillis behind_{ 0 };
   bool ready_ = false;
 };
 
@@ -116,6 +119,7 @@
   gpRunDispatcher dispatcher_;
   std::map<gpLinkId, gpIncarnation> guards_;
   gpTime wakeAt_;
+  gpLoopLag lag_;
   gpTime shutdownAt_ = gpTime::max();
   bool callersSentAway_ = false;
   bool stopped_ = false;
--- a/Tests/Lease/testLeaseEntry.cxx
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -30,6 +30,10 @@
   gpQueueTable table;
   table.version_ = gpConfigVersion(1);
   table.queues_.push_back(queue);
+  queue.name_ = gpQueueName("check");
+  queue.prefix_ = "/check/";
+  queue.allowance_ = gpMillis(60);
+  table.queues_.push_back(queue);
   return table;
 }
 
@@ -45,6 +49,15 @@
   return job;
 }
 
+/// A job that is late if it doesn't start within 55 ms.
+gpLeaseJob
+MakeUrgentJob(const std::string& aId)
+{
+  gpLeaseJob job = MakeJob(aId);
+  job.path_ = "/check/" + aId;
+  return job;
+}
+
 /// An entry with one guard, whose target has room for one task.
 class EntryWithGuard
 {
@@ -79,12 +92,24 @@
             ordered_.end(), order->runs_.begin(), order->runs_.end());
         }
       }
+      if (const auto* wake = std::get_if<gpWakeAt>(&effect)) {
+        wakeAt_ = wake->when_;
+      }
       sentAway_ =
         sentAway_ || std::holds_alternative<gpSendCallersAway>(effect);
       stopped_ = stopped_ || std::holds_alternative<gpStop>(effect);
     }
   }
 
+  /// Wake-ups come late by aTime, as when there is too little processor.
+  void PassLate(gpMillis aTime, int aWakes)
+  {
+    for (int wake = 0; wake < aWakes; ++wake) {
+      now_ = wakeAt_ + aTime;
+      Feed(gpTimePassed{});
+    }
+  }
+
   void Pass(gpMillis aTime)
   {
     now_ += aTime;
@@ -114,6 +139,7 @@
   }
 
   gpTime now_{ gpMillis(1000) };
+  gpTime wakeAt_;
   gpLeaseEntryReducer entry_;
 };
 
@@ -211,3 +237,34 @@
   entry.Feed(gpLeaseJobSubmitted{ gpRequestId(4), MakeJob("late") });
   BOOST_TEST(entry.answers_.contains(gpRequestId(4)));
 }
+
+// Guards against an entry without processor to spare that takes in what its
+// callers sent long ago, and answers nearly all of them too late.
+BOOST_AUTO_TEST_CASE(AnEntryThatIsBehindRefusesWhatWouldStartTooLate)
+{
+  EntryWithGuard entry;
+  entry.PassLate(gpMillis(100), 8);
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeUrgentJob("urgent") });
+  BOOST_REQUIRE(entry.answers_.contains(gpRequestId(1)));
+  const gpLeaseAnswer& refusal = entry.answers_.at(gpRequestId(1));
+  BOOST_TEST((refusal.outcome_ == gpLeaseOutcome::NotRun));
+  BOOST_TEST((refusal.reason_ == gpLeaseReason::Overloaded));
+  BOOST_TEST(refusal.retryAfter_.has_value());
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(2), MakeJob("patient") });
+  BOOST_TEST(entry.ordered_.size() == 1U);
+  entry.EndRun(gpRunEnd::Done);
+  entry.Feed(gpMessageReceived{ kLink, gpRoomReport{ { 1000, 0, 0 }, 1 } });
+  // It has caught up.
+  entry.PassLate(gpMillis(0), 1);
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(3), MakeUrgentJob("again") });
+  BOOST_TEST(entry.ordered_.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(OneLongEventRefusesNothing)
+{
+  EntryWithGuard entry;
+  entry.PassLate(gpMillis(0), 4);
+  entry.PassLate(gpMillis(1000), 1);
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeUrgentJob("urgent") });
+  BOOST_TEST(entry.ordered_.size() == 1U);
+}
