--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -113,8 +113,7 @@
   }
   // While this process is behind, the job has waited before it was read.
   const gpTime arrivedAt = now_ - lag_.GetStanding();
-  gpLeaseRecord record =
-    admission_.MakeRecord(aEvent, *queue, arrivedAt, now_);
+  gpLeaseRecord record = admission_.MakeRecord(aEvent, *queue, arrivedAt, now_);
   if (!EndsBeforeShutdown(record)) {
     Refuse(
       aEvent,
--- a/Source/Process/gpNode.cxx
+++ b/Source/Process/gpNode.cxx
@@ -138,11 +138,14 @@
 void
 gpNode::Send(gpLinkId aLink, gpMessage aMessage)
 {
-  metrics_
-    .Counter("gypsumpoint_messages_total",
-             "Messages sent to other processes by kind",
-             { { "kind", std::string(gpMessageName(aMessage)) } })
-    .Add();
+  gpCounter*& count = messageCounts_.at(aMessage.index());
+  if (count == nullptr) {
+    count =
+      &metrics_.Counter("gypsumpoint_messages_total",
+                        "Messages sent to other processes by kind",
+                        { { "kind", std::string(gpMessageName(aMessage)) } });
+  }
+  count->Add();
   links_.Send(aLink, std::move(aMessage));
 }
 
--- a/Source/Process/gpNode.h
+++ b/Source/Process/gpNode.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <string>
+#include <variant>
 
 #include "gpEventLog.h"
 #include "gpEventLoop.h"
@@ -105,6 +107,8 @@
   gpPeer self_;
   gpTimerId wake_;
   std::map<gpEventKind, LogKind> logKinds_;
+  /// By kind of message; null until the first one was sent.
+  std::array<gpCounter*, std::variant_size_v<gpMessage>> messageCounts_{};
   std::uint64_t droppedLines_ = 0;
   bool isFlushPlanned_ = false;
   bool stopping_ = false;
