Entry: Let guards ask for a configuration, one entry at a time

On a change each entry sent the whole text to each of its guards: with 1,400 routes and 51 guards some 10 MB over a link of 25 Mbit/s, on which heartbeats have 400 ms. A guard got it from each of its eight entries (docs/CAPACITY.md: over 6 KB/s at 2,000 workers), and an entry that started asked all of its guards for it at once. Each copy that an entry got was parsed before its version was looked at.

Guards only keep the text for entries that start while the store is away. So they ask one of their entries a second, and entries one of their peers each 200 ms, for what is newer; entries still tell other entries at once. A copy that isn't newer isn't parsed.

--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr gpMillis kRegisterAgain{ 500 };
+/// Period in which one peer is asked whether it has a newer configuration.
+constexpr gpMillis kAskPeriod{ 200 };
 
 } // namespace
 
@@ -80,6 +82,7 @@
   Reduce(gpEntriesFound{ settings_.entries_ });
   configuration_.Start();
   entries_.Start();
+  AskForNewsInTurn(kAskPeriod);
   Register();
   return status;
 }
@@ -182,8 +185,6 @@
 gpLeaseEntryProcess::OnLinkOpened(const gpLinkOpened& aEvent)
 {
   peers_.insert_or_assign(aEvent.link_, aEvent.peer_);
-  // Whatever a peer has that is newer; most often it has nothing.
-  AskForNews(aEvent.link_);
   Reduce(aEvent);
 }
 
@@ -198,7 +199,10 @@
 gpLeaseEntryProcess::OnMessage(const gpMessageReceived& aEvent)
 {
   if (const auto* news = std::get_if<gpConfigurationNews>(&aEvent.message_)) {
-    TakeConfiguration(news->text_);
+    // Each peer sends it; reading a large text takes long.
+    if (IsNews(news->version_)) {
+      TakeConfiguration(news->text_);
+    }
     return;
   }
   Reduce(aEvent);
@@ -230,9 +234,12 @@
     return;
   }
   Reduce(gpQueuesChanged{ std::move(*queues) });
-  // Peers may not reach the store, or hear of it later.
+  // Other entries may not reach the store, or hear of it later. Guards ask for
+  // it: they are many, and only keep it.
   for (const auto& [link, peer] : peers_) {
-    Send(link, news);
+    if (peer.role_ == gpRole::Entry) {
+      Send(link, news);
+    }
   }
 }
 
--- a/Source/Guard/gpLeaseGuardProcess.cxx
+++ b/Source/Guard/gpLeaseGuardProcess.cxx
@@ -6,6 +6,8 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+/// Period in which one entry is asked whether it has a newer configuration.
+constexpr gpMillis kAskPeriod{ 1000 };
 
 } // namespace
 
@@ -53,6 +55,7 @@
   }
   NoteListening("target", *announced);
   Reduce(gpEntriesFound{ settings_.entries_ });
+  AskForNewsInTurn(kAskPeriod);
   return status;
 }
 
--- a/Source/Process/gpLeaseNode.cxx
+++ b/Source/Process/gpLeaseNode.cxx
@@ -156,10 +156,16 @@
   return true;
 }
 
+bool
+gpLeaseNode::IsNews(gpConfigVersion aVersion) const
+{
+  return !news_.has_value() || aVersion > news_->version_;
+}
+
 bool
 gpLeaseNode::KeepNews(gpConfigurationNews aNews)
 {
-  if (news_.has_value() && aNews.version_ <= news_->version_) {
+  if (!IsNews(aNews.version_)) {
     return false;
   }
   news_ = std::move(aNews);
@@ -175,11 +181,22 @@
 }
 
 void
-gpLeaseNode::AskForNews(gpLinkId aLink)
+gpLeaseNode::AskForNewsInTurn(gpMillis aPeriod)
 {
+  timers_.Subscribe(gpEventLoop::Now() + aPeriod,
+                    [this, aPeriod] { AskForNewsInTurn(aPeriod); });
+  const auto& peers = GetPeers();
+  auto next = peers.upper_bound(asked_);
+  if (next == peers.end()) {
+    next = peers.begin();
+  }
+  if (next == peers.end()) {
+    return;
+  }
+  asked_ = next->first;
   gpNewsRequest request;
   request.version_ = news_.has_value() ? news_->version_ : gpConfigVersion();
-  Send(aLink, request);
+  Send(asked_, request);
 }
 
 gpHttpResponse
--- a/Source/Process/gpLeaseNode.h
+++ b/Source/Process/gpLeaseNode.h
@@ -42,8 +42,11 @@
   bool KeepNews(gpConfigurationNews aNews);
   /// Answers a request for the configuration.
   void AnswerNews(gpLinkId aLink, const gpNewsRequest& aRequest);
-  /// Asks the peer for the configuration, if it has a newer one.
-  void AskForNews(gpLinkId aLink);
+  /// Whether the version is newer than what is kept.
+  bool IsNews(gpConfigVersion aVersion) const;
+  /// Asks one peer after the other for the configuration, if it has a newer
+  /// one. A text may be large, so it's pulled from one peer at a time.
+  void AskForNewsInTurn(gpMillis aPeriod);
 
   /// Takes over what may change in the settings file while the process runs:
   /// the entries. Settings that can't be read are noted, and change nothing.
@@ -79,6 +82,8 @@
   gpLeaseSettings settings_;
   StatusHandlers statusHandlers_;
   std::optional<gpConfigurationNews> news_;
+  /// The peer that was asked last.
+  gpLinkId asked_;
   std::optional<gpSettingsWatch> watch_;
   std::string settingsFile_;
 };
--- a/Tests/Integration/Platform/testPlatformCluster.cxx
+++ b/Tests/Integration/Platform/testPlatformCluster.cxx
@@ -20,6 +20,43 @@
   }
 }
 
+/// Waits until the process has that version of the configuration.
+void
+WaitForVersion(gpPlatformCluster& aCluster,
+               gpTestProcess& aProcess,
+               const std::string& aVersion)
+{
+  const std::string field = R"("configuration_version":)" + aVersion + ",";
+  while (gpBodyOf(aCluster.Http().Get(aProcess.Address("status"), "/v1/status"))
+           .find(field) == std::string::npos) {
+    std::this_thread::sleep_for(kLook);
+  }
+}
+
+/// Texts of configurations that the entry has sent to other processes.
+std::uint64_t
+CountTextsSent(gpPlatformCluster& aCluster, std::size_t aEntry)
+{
+  const std::string series =
+    R"(gypsumpoint_messages_total{kind="configuration_news"} )";
+  const std::string metrics = gpBodyOf(
+    aCluster.Http().Get(aCluster.Entry(aEntry).Address("status"), "/metrics"));
+  const std::size_t found = metrics.find(series);
+  return found == std::string::npos
+           ? 0
+           : std::stoull(metrics.substr(found + series.size()));
+}
+
+std::uint64_t
+CountTextsSent(gpPlatformCluster& aCluster)
+{
+  std::uint64_t all = 0;
+  for (std::size_t entry = 0; entry < aCluster.CountEntries(); ++entry) {
+    all += CountTextsSent(aCluster, entry);
+  }
+  return all;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(AJobIsServed)
@@ -150,6 +187,43 @@
                                 { { "number", "7" } });
 }
 
+BOOST_AUTO_TEST_CASE(AnEntryThatStartsAloneLearnsFromAGuard)
+{
+  // Behind proxies it has the same address when it starts again.
+  gpPlatformCluster cluster({ .entries_ = 1, .guards_ = 1, .proxies_ = true });
+  cluster.Configure(7);
+  cluster.WaitUntilReady();
+  WaitForVersion(cluster, cluster.Guard(0), "7");
+  cluster.Control(cluster.Store(), R"({"mode":"refuse"})");
+  cluster.Entry(0).Kill();
+  cluster.StartEntryAgain(0);
+  cluster.Entry(0).WaitForEvent("configuration_in_force",
+                                { { "number", "7" } });
+}
+
+// Guards against a large configuration that each entry sends to all its guards:
+// it filled the links of small entries.
+BOOST_AUTO_TEST_CASE(AGuardTakesTheTextOfAConfigurationFromFewEntries)
+{
+  constexpr std::size_t kEntries = 3;
+  constexpr std::size_t kGuards = 6;
+  gpPlatformCluster cluster(kEntries, kGuards);
+  cluster.Configure(1);
+  cluster.WaitUntilReady();
+  for (std::size_t guard = 0; guard < kGuards; ++guard) {
+    WaitForVersion(cluster, cluster.Guard(guard), "1");
+  }
+  const std::uint64_t before = CountTextsSent(cluster);
+  cluster.Configure(2);
+  for (std::size_t guard = 0; guard < kGuards; ++guard) {
+    WaitForVersion(cluster, cluster.Guard(guard), "2");
+  }
+  // One for each pair of entries, and for each guard one or, if an answer takes
+  // long, two.
+  BOOST_TEST(CountTextsSent(cluster) - before <=
+             kEntries * (kEntries - 1) + 2 * kGuards);
+}
+
 BOOST_AUTO_TEST_CASE(AChangeIsInForceAfterTheStoreComesBack)
 {
   gpPlatformCluster cluster(2, 1);
