--- a/Source/Runtime/gpEventLog.cxx
+++ b/Source/Runtime/gpEventLog.cxx
@@ -37,7 +37,7 @@
 constexpr const char* kLoggerName = "timeline";
 constexpr mode_t kFileMode = 0644;
 /// Lines that wait for a slow reader; more are dropped.
-constexpr std::size_t kMostWaiting = 64 * 1024;
+constexpr std::size_t kMostWaiting = 64U << 10U;
 /// A pipe that is writable takes so much without waiting.
 constexpr std::size_t kPartBytes = PIPE_BUF;
 constexpr char kReplacement = '?';
--- a/Tests/Lease/testEntryLoad.cxx
+++ b/Tests/Lease/testEntryLoad.cxx
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr gpMillis kDay{ 5000 };
+/// Processor of all targets, in thousandths of a core.
+constexpr std::uint64_t kMilliCores = 456000;
 /// Jobs that leave room at the targets, and over twice as many as they can run.
 constexpr double kFewJobs = 100;
 constexpr double kManyJobs = 600;
@@ -29,7 +31,7 @@
   for (const std::size_t guards : { 20, 57, 120 }) {
     gpEntryWorldOptions options;
     options.guards_ = guards;
-    options.milliCores_ = 456000 / guards;
+    options.milliCores_ = kMilliCores / guards;
     options.jobsPerSecond_ = kFewJobs;
     const double few = LooksOfAJob(options);
     options.jobsPerSecond_ = kManyJobs;
