--- a/Tests/StandIns/gpWorkerStandIn.cxx
+++ b/Tests/StandIns/gpWorkerStandIn.cxx
@@ -94,7 +94,7 @@
 {
   const gpTime now = gpEventLoop::Now();
   target_.Advance(now);
-  journal_.NoteEnds(target_.TakeEnds());
+  NoteEnds();
   timers_.Subscribe(now + kLook, [this] { Advance(); });
 }
 
@@ -174,7 +174,9 @@
   gpStopRun order;
   order.run_ = RunOf(aBody);
   order.fence_ = FenceOf(aBody);
-  return Answer(target_.Stop(order, gpEventLoop::Now()));
+  const gpOrderReply reply = target_.Stop(order, gpEventLoop::Now());
+  NoteEnds();
+  return Answer(reply);
 }
 
 gpHttpResponse
@@ -210,6 +212,7 @@
 gpWorkerStandIn::AnswerHold(gpRequestId aRequest, const gpLookAtTarget& aLook)
 {
   const gpTargetSeen seen = target_.Look(aLook, gpEventLoop::Now());
+  NoteEnds();
   const bool isAccepted = seen.reply_ == gpOrderReply::Accepted;
   if (isAccepted && seen.ended_.empty() && aLook.wait_ > gpMillis(0)) {
     gpLookAtTarget again = aLook;
--- a/Tests/StandIns/gpWorkerStandIn.h
+++ b/Tests/StandIns/gpWorkerStandIn.h
@@ -44,8 +44,11 @@
   void AnswerHold(gpRequestId aRequest, const gpLookAtTarget& aLook);
   gpHttpResponse Answer(gpOrderReply aReply) const;
   void Beat();
-  /// Ends what has come due, and writes it to the journal.
+  /// Ends what has come due, now and then.
   void Advance();
+  /// Writes the ends to the journal. To be called before an answer tells of
+  /// them, as the process may be killed right after it.
+  void NoteEnds() { journal_.NoteEnds(target_.TakeEnds()); }
 
   gpTimerService& timers_;
   gpHttpServer server_;
--- a/Tests/StandIns/testStandIns.cxx
+++ b/Tests/StandIns/testStandIns.cxx
@@ -263,3 +263,33 @@
   BOOST_TEST(gpStatusOf(second.reply_.get()) == 200);
   BOOST_TEST((target.Process().WaitForExit() == 0));
 }
+
+// Guards against a worker that is killed right after it has told of an end,
+// which its journal then lacks: the soak took the answer for untrue.
+BOOST_AUTO_TEST_CASE(WorkerNotesAnEndBeforeItTellsOfIt)
+{
+  constexpr int kRuns = 40;
+  gpTestFolder folder;
+  const auto journal = folder.Path() / "journal";
+  gpTestHttp http;
+  StandIn worker("worker", { "--journal", journal.string() });
+  for (int run = 1; run <= kRuns; ++run) {
+    const std::string task = "5c0e7a21d94b36f8.0.0." + std::to_string(run);
+    http.Post(worker.Service(),
+              "/v1/run-start",
+              R"({"task":")" + task +
+                R"(","run":1,"fence":1,"deadlineMs":100000000,)"
+                R"("spec":"{\"run_ms\":3}"})");
+    const std::string seen =
+      gpBodyOf(http.Post(worker.Service(),
+                         "/v1/hold",
+                         R"({"fence":1,"deadlineMs":100000000,"waitMs":1000,)"
+                         R"("ackCursor":)" +
+                           std::to_string(run - 1) + "}"));
+    std::ifstream file(journal);
+    const std::string text(std::istreambuf_iterator<char>(file), {});
+    const std::string noted = R"(")" + task + R"(","number":1,"event":"done")";
+    BOOST_TEST(seen.find(task) != std::string::npos, seen);
+    BOOST_TEST(text.find(noted) != std::string::npos, text);
+  }
+}
