Guard: Give a target work at once after a restart of its guard

What callers saw: after all processes were killed, 0.7 to 1 s of refusals with targets idle.

Cause: a restarted guard does not know its target until the next heartbeat, which comes up to a heartbeat period (1.5 s) later. Ruled out: the load of jobs that come again (the targets were idle), links (all were up), unknown runs at the targets (stopped within 50 ms).

Change: the guard stores the announcement in the platform's store when the incarnation or its state changes, and a restarted guard reads it, polls that incarnation, and takes work once it has answered. Any other incarnation refuses the poll, and the record is dropped. Records are spread over the partitions of the topic, so that a guard reads few of others.

--- a/Source/Configuration/gpLeaseSettingsFile.cxx
+++ b/Source/Configuration/gpLeaseSettingsFile.cxx
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr auto kRequired = gpPresence::Required;
+constexpr gpNumberRange kPartitions = { 1, 1000 };
 constexpr gpNumberRange kGraceMs = { 100, 3600000 };
 constexpr gpNumberRange kPort = { 1, 65535 };
 constexpr double kMaxCores = 1024;
@@ -83,7 +84,10 @@
   gpJsonObject metrics = aRoot.Object("metrics");
   metrics.Text("listen", aSettings.metricsListen_, kListenRule);
   metrics.Finish();
-  ReadAddress(aRoot.Object("store"), "address", kAddressRule, aSettings.store_);
+  gpJsonObject store = aRoot.Object("store");
+  store.Text("address", aSettings.store_, kAddressRule, kRequired);
+  store.Number("partitions", aSettings.storePartitions_, kPartitions);
+  store.Finish();
   ReadEntries(aRoot.Object("entries"), aSettings.entries_);
   gpJsonObject eventLog = aRoot.Object("event_log");
   eventLog.Text("file", aSettings.eventLog_, kNonEmptyRule);
--- a/Source/Entry/main.cxx
+++ b/Source/Entry/main.cxx
@@ -20,12 +20,13 @@
     std::cerr << gpErrorText(settings.status()) << "\n";
     return kExitUsage;
   }
-  gpLeaseEntryProcess process(*settings,
-                              std::make_unique<gpPlatformJobs>(),
-                              [&settings](gpHttpClient& aClient) {
-                                return std::make_unique<gpPlatformStore>(
-                                  aClient, settings->store_);
-                              });
+  gpLeaseEntryProcess process(
+    *settings,
+    std::make_unique<gpPlatformJobs>(),
+    [&settings](gpHttpClient& aClient) {
+      return std::make_unique<gpPlatformStore>(
+        aClient, settings->store_, settings->storePartitions_);
+    });
   return gpRunLeaseProcess(process, "gypsumpoint-entry", aFile, aText);
 }
 
--- a/Source/Guard/gpLeaseGuardProcess.cxx
+++ b/Source/Guard/gpLeaseGuardProcess.cxx
@@ -2,19 +2,24 @@
 
 #include <utility>
 
+#include "gpLeaseLogEvents.h"
+#include "gpTargetRecord.h"
+
 namespace {
 
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 /// Period in which the next entry in turn is asked for a newer configuration.
 constexpr gpMillis kUpdateRequestPeriod{ 1000 };
+constexpr gpMillis kStoreRetryPause{ 500 };
 
 } // namespace
 
 gpLeaseGuardProcess::gpLeaseGuardProcess(
   const gpLeaseSettings& aSettings,
   std::unique_ptr<gpAnnouncementPort> aAnnouncements,
-  const MakeTarget& aMakeTarget)
+  const MakeTarget& aMakeTarget,
+  const MakeStore& aMakeStore)
   : gpLeaseNode(aSettings,
                 gpRole::Guard,
                 gpMakeLeaseLinkHandlers(
@@ -25,6 +30,7 @@
   , settings_(aSettings)
   , announcementPort_(std::move(aAnnouncements))
   , targetPort_(aMakeTarget(httpClient_))
+  , store_(aMakeStore(httpClient_))
   , heartbeatServer_(
       loop_,
       gpHttpLimits{},
@@ -57,9 +63,53 @@
   NoteListening("target", *announced);
   Reduce(gpEntriesFound{ settings_.entries_ });
   RequestUpdatesInTurn(kUpdateRequestPeriod);
+  ReadTargetRecord();
   return status;
 }
 
+void
+gpLeaseGuardProcess::ReadTargetRecord()
+{
+  store_->ReadKey(
+    gpStoreTopic::Targets,
+    settings_.name_,
+    [this](const absl::StatusOr<gpStoreRecord>& aRecord) {
+      const auto target =
+        aRecord.ok() ? gpParseTargetRecord(aRecord->value_)
+                     : absl::StatusOr<gpTargetAnnouncement>(aRecord.status());
+      if (target.ok()) {
+        Reduce(gpTargetRecordRead{ *target });
+        return;
+      }
+      // The next heartbeat of the target tells the same.
+      if (gpErrorCodeOf(target.status()) != gpErrorCode::NotFound) {
+        Write(gpProcessLogEvent(gpEventKind::LogUnavailable,
+                                "record of the target: " +
+                                  gpErrorText(target.status())));
+      }
+    });
+}
+
+void
+gpLeaseGuardProcess::StoreTargetRecord()
+{
+  if (std::exchange(isStoring_, true)) {
+    return;
+  }
+  store_->Write(gpStoreTopic::Targets,
+                record_,
+                [this, value = record_.value_](const absl::Status& aStatus) {
+                  isStoring_ = false;
+                  if (aStatus.ok() && value == record_.value_) {
+                    return;
+                  }
+                  const gpMillis pause =
+                    aStatus.ok() ? gpMillis(0) : kStoreRetryPause;
+                  timers_.Subscribe(gpEventLoop::Now() + pause,
+                                    [this] { StoreTargetRecord(); });
+                });
+}
+
 void
 gpLeaseGuardProcess::CloseServers(std::function<void()> aClosed)
 {
@@ -131,5 +181,8 @@
     targetPort_->Stop(*stop, reduce);
   } else if (const auto* poll = std::get_if<gpPollTarget>(&aEffect)) {
     targetPort_->Poll(*poll, reduce);
+  } else if (const auto* record = std::get_if<gpStoreTargetRecord>(&aEffect)) {
+    record_ = { settings_.name_, gpRenderTargetRecord(record->target_) };
+    StoreTargetRecord();
   }
 }
--- a/Source/Guard/gpLeaseGuardProcess.h
+++ b/Source/Guard/gpLeaseGuardProcess.h
@@ -6,6 +6,7 @@
 #include "gpAnnouncementPort.h"
 #include "gpLeaseGuardReducer.h"
 #include "gpLeaseNode.h"
+#include "gpStorePort.h"
 #include "gpTargetPort.h"
 
 /** \class gpLeaseGuardProcess
@@ -19,9 +20,13 @@
   using MakeTarget =
     std::function<std::unique_ptr<gpTargetPort>(gpHttpClient&)>;
 
+  /// Makes the client of the store, likewise.
+  using MakeStore = std::function<std::unique_ptr<gpStorePort>(gpHttpClient&)>;
+
   gpLeaseGuardProcess(const gpLeaseSettings& aSettings,
                       std::unique_ptr<gpAnnouncementPort> aAnnouncements,
-                      const MakeTarget& aMakeTarget);
+                      const MakeTarget& aMakeTarget,
+                      const MakeStore& aMakeStore);
 
   /// Opens the event log and listens.
   absl::Status Open();
@@ -30,6 +35,11 @@
 
 private:
   void OnRequest(gpRequestId aRequest, const gpHttpRequest& aHttp);
+  /// Reads the record of the target that an earlier process has stored, so that
+  /// the target can be given work before its next heartbeat.
+  void ReadTargetRecord();
+  /// Stores record_; repeats it until it is stored or replaced.
+  void StoreTargetRecord();
   std::string StatusFields() const;
   template<typename Input>
   void Reduce(Input aInput);
@@ -38,6 +48,10 @@
   gpLeaseSettings settings_;
   std::unique_ptr<gpAnnouncementPort> announcementPort_;
   std::unique_ptr<gpTargetPort> targetPort_;
+  std::unique_ptr<gpStorePort> store_;
+  /// The record of the target that is to be stored.
+  gpStoreRecord record_;
+  bool isStoring_ = false;
   gpHttpServer heartbeatServer_;
   std::unique_ptr<gpLeaseGuardReducer> reducer_;
 };
--- a/Source/Guard/main.cxx
+++ b/Source/Guard/main.cxx
@@ -5,6 +5,7 @@
 #include "gpLeaseGuardProcess.h"
 #include "gpLeaseSettingsFile.h"
 #include "gpPlatformHeartbeat.h"
+#include "gpPlatformStore.h"
 #include "gpPlatformTarget.h"
 #include "gpRunLeaseProcess.h"
 #include "gpSettingsFile.h"
@@ -20,12 +21,16 @@
     std::cerr << gpErrorText(settings.status()) << "\n";
     return kExitUsage;
   }
-  gpLeaseGuardProcess process(*settings,
-                              std::make_unique<gpPlatformHeartbeat>(),
-                              [&settings](gpHttpClient& aClient) {
-                                return std::make_unique<gpPlatformTarget>(
-                                  aClient, settings->target_);
-                              });
+  gpLeaseGuardProcess process(
+    *settings,
+    std::make_unique<gpPlatformHeartbeat>(),
+    [&settings](gpHttpClient& aClient) {
+      return std::make_unique<gpPlatformTarget>(aClient, settings->target_);
+    },
+    [&settings](gpHttpClient& aClient) {
+      return std::make_unique<gpPlatformStore>(
+        aClient, settings->store_, settings->storePartitions_);
+    });
   return gpRunLeaseProcess(process, "gypsumpoint-guard", aFile, aText);
 }
 
--- a/Source/Lease/gpLeaseEvent.h
+++ b/Source/Lease/gpLeaseEvent.h
@@ -12,6 +12,7 @@
 #include "gpLeaseJob.h"
 #include "gpQueueTable.h"
 #include "gpRunMessages.h"
+#include "gpTargetAnnouncement.h"
 
 /** \brief Events and effects of the reducers for best-effort jobs, in addition
  * to those in gpEvent.h and gpEffect.h.
@@ -45,25 +46,15 @@
   std::vector<gpAddress> entries_;
 };
 
-/** \class gpTargetAnnouncement
- * \brief The contents of a target's heartbeat.
- */
-struct gpTargetAnnouncement
+/// A heartbeat of a target was received.
+struct gpHeartbeatReceived
 {
-  std::string id_;
-  /// Start time of the target's incarnation. A higher value is a newer
-  /// incarnation, also under the same ID.
-  std::uint64_t startTime_ = 0;
-  /// Increases with each heartbeat of an incarnation.
-  std::uint64_t sequence_ = 0;
-  gpServiceName service_;
-  bool draining_ = false;
-  gpResources capacity_;
-  std::vector<std::string> labels_;
+  gpTargetAnnouncement target_;
 };
 
-/// A heartbeat of a target was received.
-struct gpHeartbeatReceived
+/// The store has a record of the target, which an earlier process of this guard
+/// has written. It may be out of date.
+struct gpTargetRecordRead
 {
   gpTargetAnnouncement target_;
 };
@@ -162,6 +153,7 @@
                gpDialFailed,
                gpMessageReceived,
                gpHeartbeatReceived,
+               gpTargetRecordRead,
                gpTargetEnded,
                gpStartReplied,
                gpStopReplied,
@@ -224,6 +216,12 @@
   gpMillis wait_{ 0 };
 };
 
+/// Stores a record of the target for the next process of this guard.
+struct gpStoreTargetRecord
+{
+  gpTargetAnnouncement target_;
+};
+
 using gpLeaseEffect = std::variant<gpSend,
                                    gpWatchAddress,
                                    gpUnwatchAddress,
@@ -235,7 +233,8 @@
                                    gpCloseCallerConnections,
                                    gpStartRun,
                                    gpStopRun,
-                                   gpPollTarget>;
+                                   gpPollTarget,
+                                   gpStoreTargetRecord>;
 
 /** \class gpLeaseEffects
  * \brief Collects the effects of one event in their order.
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -258,19 +258,53 @@
       !target_.IsCurrent(aEvent.target_)) {
     return;
   }
+  Announce(aEvent.target_);
+  if (IsRecordOutdated()) {
+    record_ = target_.Get();
+    out_.Add(gpStoreTargetRecord{ *record_ });
+  }
+}
+
+void
+gpLeaseGuardReducer::On(const gpTargetRecordRead& aEvent)
+{
+  if (target_.IsKnown() || aEvent.target_.service_ != options_.service_) {
+    return;
+  }
+  // No work is taken until the target has answered a poll. The poll names the
+  // incarnation of the record, and any other refuses it.
+  record_ = aEvent.target_;
+  Announce(aEvent.target_);
+}
+
+void
+gpLeaseGuardReducer::Announce(const gpTargetAnnouncement& aTarget)
+{
   const bool wasDraining = target_.IsKnown() && target_.Get().draining_;
-  const bool isSameId =
-    target_.IsKnown() && target_.Get().id_ == aEvent.target_.id_;
-  const bool isOther = target_.NoteHeartbeat(aEvent.target_, now_);
+  const bool isSameId = target_.IsKnown() && target_.Get().id_ == aTarget.id_;
+  const bool isOther = target_.NoteHeartbeat(aTarget, now_);
   pollSchedule_.NoteHeartbeat(now_);
-  runs_.SetCapacity(aEvent.target_.capacity_);
+  runs_.SetCapacity(aTarget.capacity_);
   if (isOther) {
     OnNewIncarnation(isSameId);
-    WriteTarget(gpEventKind::TargetAnnounced, aEvent.target_.id_);
+    WriteTarget(gpEventKind::TargetAnnounced, aTarget.id_);
   }
-  if (aEvent.target_.draining_ && !wasDraining) {
-    WriteTarget(gpEventKind::TargetLeaving, aEvent.target_.id_);
+  if (aTarget.draining_ && !wasDraining) {
+    WriteTarget(gpEventKind::TargetLeaving, aTarget.id_);
+  }
+}
+
+bool
+gpLeaseGuardReducer::IsRecordOutdated() const
+{
+  if (!record_.has_value()) {
+    return true;
   }
+  // The sequence number changes with each heartbeat, and an older one is as
+  // good to recognise the incarnation.
+  gpTargetAnnouncement present = target_.Get();
+  present.sequence_ = record_->sequence_;
+  return present != *record_;
 }
 
 void
@@ -344,6 +378,11 @@
     if (aEvent.reply_ == gpOrderReply::Fence) {
       target_.RaiseFence();
     }
+    if (aEvent.reply_ == gpOrderReply::OtherTarget &&
+        !pollSchedule_.HasAnswer() && runs_.IsEmpty()) {
+      WriteTarget(gpEventKind::TargetLeaving, "another incarnation answered");
+      target_.Forget();
+    }
     pollSchedule_.NoteFailed(aEvent.sentAt_, now_);
     // The target may still be running and only be unreachable, so its runs
     // count as ended only after its lease has expired.
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -63,6 +63,7 @@
   void On(const gpDialFailed& aEvent);
   void On(const gpMessageReceived& aEvent);
   void On(const gpHeartbeatReceived& aEvent);
+  void On(const gpTargetRecordRead& aEvent);
   void On(const gpTargetEnded& aEvent);
   void On(const gpStartReplied& aEvent);
   void On(const gpStopReplied& aEvent);
@@ -96,6 +97,11 @@
   /// have accepted orders of this guard, so all runs have ended. Under the same
   /// ID, orders sent last may have reached it, so all runs are stopped.
   void OnNewIncarnation(bool aIsSameId);
+  /// Handles an announcement that is known to be current.
+  void Announce(const gpTargetAnnouncement& aTarget);
+  /// Whether the record in the store is about another incarnation or another
+  /// state of the target.
+  bool IsRecordOutdated() const;
   void Refuse(gpLinkId aLink, const gpRunId& aRun, gpRunEnd aReason);
   /// Polls the target if a poll is due, and renews its lease if it has runs.
   void Poll();
@@ -118,6 +124,8 @@
   gpRunStopper stopper_;
   gpPollSchedule pollSchedule_;
   gpTargetSpeed speed_;
+  /// The announcement in the store, if this process knows it.
+  std::optional<gpTargetAnnouncement> record_;
   std::uint64_t seenEnds_ = 0;
   gpTime lastEventAt_;
   gpTime wakeAt_;
--- a/Source/Lease/gpTargetSession.h
+++ b/Source/Lease/gpTargetSession.h
@@ -43,6 +43,14 @@
     RaiseFence();
   }
   void RaiseFence() { fence_ += kFenceStep; }
+  /// The known incarnation does not exist any more; the next heartbeat names
+  /// the present one.
+  void Forget()
+  {
+    target_.reset();
+    reportedStartTime_ = 0;
+    RaiseFence();
+  }
   /// The target announced that it ends.
   void NoteEnded() { ended_ = true; }
   /// Whether a heartbeat is of the present incarnation or a newer one, and is
--- a/Source/Model/gpLeaseSettings.h
+++ b/Source/Model/gpLeaseSettings.h
@@ -32,8 +32,10 @@
   std::uint32_t milliCores_ = 0;
   /// Initial list of entries; may be out of date.
   std::vector<gpAddress> entries_;
-  /// Address of the platform's metadata store; entries only.
+  /// Address of the platform's metadata store.
   gpAddress store_;
+  /// Number of partitions of each topic of the store, at least 1.
+  std::uint32_t storePartitions_ = 1;
   /// Address of the target beside a guard.
   gpAddress target_;
   /// Listening address of a guard for the heartbeats of its target.
--- a/Source/Process/gpStorePort.h
+++ b/Source/Process/gpStorePort.h
@@ -16,6 +16,7 @@
 {
   Configuration, ///< the operator's configuration; only read by the system
   Entries,       ///< addresses of the entries, written by each entry
+  Targets,       ///< last known announcements, written by each target's guard
 };
 
 /** \class gpStoreRecord
@@ -49,11 +50,16 @@
 {
 public:
   using Handler = std::function<void(absl::StatusOr<gpStorePage>)>;
+  using RecordHandler = std::function<void(absl::StatusOr<gpStoreRecord>)>;
 
   virtual ~gpStorePort() = default;
 
   /// Reads the newest record of each key, and the offset of later records.
   virtual void ReadNewest(gpStoreTopic aTopic, Handler aHandler) = 0;
+  /// Reads the newest record of one key; NotFound if there is none.
+  virtual void ReadKey(gpStoreTopic aTopic,
+                       const std::string& aKey,
+                       RecordHandler aHandler) = 0;
   /// Reads the records from an offset on. If there is none yet, waits for one,
   /// but not longer than aWait.
   virtual void ReadFrom(gpStoreTopic aTopic,
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -35,8 +35,16 @@
 {
 public:
   explicit GuardWithTarget(bool aIsDraining = false)
+    : GuardWithTarget(WithoutHeartbeat{})
   {
     Feed(gpHeartbeatReceived{ MakeTarget(1, aIsDraining) });
+  }
+
+  /// Selects the constructor of a guard that does not know its target yet.
+  struct WithoutHeartbeat
+  {};
+  explicit GuardWithTarget(WithoutHeartbeat /*aTag*/)
+  {
     gpLinkOpened opened;
     opened.link_ = kLink;
     opened.peer_.role_ = gpRole::Entry;
@@ -55,10 +63,14 @@
         calls_.push_back(std::move(effect));
       } else if (std::holds_alternative<gpCloseLink>(effect)) {
         ++closedLinks_;
+      } else if (std::holds_alternative<gpStoreTargetRecord>(effect)) {
+        ++stored_;
       }
     }
   }
 
+  bool KnowsTarget() const { return guard_.GetStatus().targetKnown_; }
+
   void StartRun()
   {
     gpRunOrder order;
@@ -83,6 +95,8 @@
 
   int starts_ = 0;
   int closedLinks_ = 0;
+  /// Records of the target that were to be stored.
+  int stored_ = 0;
   int stops_ = 0;
   int polls_ = 0;
 
@@ -182,3 +196,72 @@
   guard.StartRun();
   BOOST_TEST(guard.starts_ == 1);
 }
+
+/// A restarted guard, which has read a record of its target.
+class RestartedGuard : public GuardWithTarget
+{
+public:
+  RestartedGuard()
+    : GuardWithTarget(WithoutHeartbeat{})
+  {
+    Feed(gpTargetRecordRead{ MakeTarget(1) });
+  }
+};
+
+// Guards against a target that stays idle after a restart of its guard until
+// it sends its next heartbeat, which takes up to a heartbeat period.
+BOOST_AUTO_TEST_CASE(ARestartedGuardTakesWorkBeforeTheNextHeartbeat)
+{
+  RestartedGuard guard;
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 0);
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 1);
+  BOOST_TEST(guard.stored_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ARecordOfAnEarlierIncarnationIsDropped)
+{
+  RestartedGuard guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::OtherTarget);
+  BOOST_TEST(!guard.KnowsTarget());
+  // The clock of the present incarnation may be behind.
+  gpTargetAnnouncement other = MakeTarget(1);
+  other.id_ = "t-2";
+  other.startTime_ = 0;
+  guard.Feed(gpHeartbeatReceived{ other });
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 1);
+  BOOST_TEST(guard.stored_ == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ARecordOfAnUnreachableTargetGivesItNoWork)
+{
+  RestartedGuard guard;
+  guard.RunFor(gpMillis(100), gpOrderReply::NotSent);
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ARecordDoesNotReplaceWhatAHeartbeatHasTold)
+{
+  GuardWithTarget guard;
+  BOOST_TEST(guard.stored_ == 1);
+  gpTargetAnnouncement older = MakeTarget(9);
+  older.id_ = "t-0";
+  guard.Feed(gpTargetRecordRead{ older });
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 1);
+}
+
+BOOST_AUTO_TEST_CASE(TheRecordIsStoredWhenTheTargetStartsToLeave)
+{
+  GuardWithTarget guard;
+  guard.Feed(gpHeartbeatReceived{ MakeTarget(2) });
+  BOOST_TEST(guard.stored_ == 1);
+  guard.Feed(gpHeartbeatReceived{ MakeTarget(3, true) });
+  BOOST_TEST(guard.stored_ == 2);
+}
--- a/Tests/Platform/testPlatformStore.cxx
+++ b/Tests/Platform/testPlatformStore.cxx
@@ -11,7 +11,7 @@
 {
   gpEventLoop loop_;
   gpHttpClient client_{ loop_, 1 };
-  gpPlatformStore store_{ client_, gpAddress("127.0.0.1:1") };
+  gpPlatformStore store_{ client_, gpAddress("127.0.0.1:1"), 24 };
 };
 
 } // namespace
