Guard: Notice a target that turns slow within a few runs

What callers saw: in the seconds in which a target was six times slower, tasks were stopped there as stragglers and sent there again, one of them four times until the deadline of its job passed; its slowness stayed at 144 %.

Cause: the moving average gives a run a weight of 0.03, and runs that were stopped did not count at all, so that a target that ends nothing keeps its speed. Ruled out: that tasks avoid their former targets too little.

--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -208,6 +208,8 @@
   const gpMicros time = now_ - run->orderedAt_;
   if (aEnd == gpRunEnd::Done) {
     speed_.NoteDone(run->estimate_, time);
+  } else if (aEnd == gpRunEnd::Stopped) {
+    speed_.NoteStopped(run->estimate_, time);
   }
   if (run->owner_.has_value()) {
     links_.Report(*run->owner_, { aRun, aEnd, time }, out_);
--- a/Tests/Lease/testLeaseParts.cxx
+++ b/Tests/Lease/testLeaseParts.cxx
@@ -79,6 +79,38 @@
   BOOST_TEST(speed.GetSlowness() == 1.0);
 }
 
+// Guards against a target that turns slow and keeps its old speed in the
+// average for dozens of runs, so that its stragglers are sent there again.
+BOOST_AUTO_TEST_CASE(ATargetThatTurnsSlowIsDetectedWithinFourRuns)
+{
+  constexpr int kRunsBefore = 100;
+  gpTargetSpeed speed;
+  for (int run = 0; run < kRunsBefore; ++run) {
+    speed.NoteDone(gpMillis(100), gpMillis(run % 2 == 0 ? 70 : 140));
+  }
+  BOOST_TEST(speed.GetSlowness() < 1.2);
+  // One outlier says more about its estimate than about the target.
+  speed.NoteDone(gpMillis(100), gpMillis(600));
+  BOOST_TEST(speed.GetSlowness() < 1.2);
+  for (int run = 0; run < 3; ++run) {
+    speed.NoteDone(gpMillis(100), gpMillis(600));
+  }
+  BOOST_TEST(speed.GetSlowness() > 2.5);
+  for (int run = 0; run < 4; ++run) {
+    speed.NoteDone(gpMillis(100), gpMillis(100));
+  }
+  BOOST_TEST(speed.GetSlowness() < 2.0);
+}
+
+BOOST_AUTO_TEST_CASE(AStoppedRunCountsIfItWasSlowerThanExpected)
+{
+  gpTargetSpeed speed;
+  speed.NoteStopped(gpMillis(100), gpMillis(20));
+  BOOST_TEST(speed.GetSlowness() == 1.0);
+  speed.NoteStopped(gpMillis(100), gpMillis(400));
+  BOOST_TEST(speed.GetSlowness() > 1.5);
+}
+
 BOOST_AUTO_TEST_CASE(AnEntryPlacesByTheReportedSpeed)
 {
   Board board;
