--- a/Source/Command/gpExplainCommand.cxx
+++ b/Source/Command/gpExplainCommand.cxx
@@ -46,8 +46,9 @@
 WriteCharts(const std::string& aPrefix, const gpExplanation& aExplanation)
 {
   for (const auto& [name, queue] : aExplanation) {
-    const absl::Status status =
-      WriteFile(aPrefix + "-" + name + ".svg", gpExplanationChart(name, queue));
+    std::string file = aPrefix;
+    file.append("-").append(name).append(".svg");
+    absl::Status status = WriteFile(file, gpExplanationChart(name, queue));
     if (!status.ok()) {
       return status;
     }
