Guard: Log when the target's record can't be stored, and prove the record

A write that fails is repeated; the first failure of a series now has a line in the log. A record is not dropped while stops of unknown runs are pending.

--- a/Source/Guard/gpLeaseGuardProcess.cxx
+++ b/Source/Guard/gpLeaseGuardProcess.cxx
@@ -83,9 +83,7 @@
       }
       // The next heartbeat of the target tells the same.
       if (gpErrorCodeOf(target.status()) != gpErrorCode::NotFound) {
-        Write(gpProcessLogEvent(gpEventKind::LogUnavailable,
-                                "record of the target: " +
-                                  gpErrorText(target.status())));
+        WriteStoreFailure(target.status());
       }
     });
 }
@@ -99,17 +97,34 @@
   store_->Write(gpStoreTopic::Targets,
                 record_,
                 [this, value = record_.value_](const absl::Status& aStatus) {
-                  isStoring_ = false;
-                  if (aStatus.ok() && value == record_.value_) {
-                    return;
-                  }
-                  const gpMillis pause =
-                    aStatus.ok() ? gpMillis(0) : kStoreRetryPause;
-                  timers_.Subscribe(gpEventLoop::Now() + pause,
-                                    [this] { StoreTargetRecord(); });
+                  OnTargetRecordStored(value, aStatus);
                 });
 }
 
+void
+gpLeaseGuardProcess::OnTargetRecordStored(const std::string& aValue,
+                                          const absl::Status& aStatus)
+{
+  isStoring_ = false;
+  const bool wasFailing = std::exchange(isStoreFailing_, !aStatus.ok());
+  if (aStatus.ok() && aValue == record_.value_) {
+    return;
+  }
+  if (!aStatus.ok() && !wasFailing) {
+    WriteStoreFailure(aStatus);
+  }
+  const gpMillis pause = aStatus.ok() ? gpMillis(0) : kStoreRetryPause;
+  timers_.Subscribe(gpEventLoop::Now() + pause,
+                    [this] { StoreTargetRecord(); });
+}
+
+void
+gpLeaseGuardProcess::WriteStoreFailure(const absl::Status& aStatus)
+{
+  Write(gpProcessLogEvent(gpEventKind::LogUnavailable,
+                          "record of the target: " + gpErrorText(aStatus)));
+}
+
 void
 gpLeaseGuardProcess::CloseServers(std::function<void()> aClosed)
 {
--- a/Source/Guard/gpLeaseGuardProcess.h
+++ b/Source/Guard/gpLeaseGuardProcess.h
@@ -38,8 +38,12 @@
   /// Reads the record of the target that an earlier process has stored, so that
   /// the target can be given work before its next heartbeat.
   void ReadTargetRecord();
-  /// Stores record_; repeats it until it is stored or replaced.
+  /// Stores record_; repeats it until the present one is stored.
   void StoreTargetRecord();
+  void OnTargetRecordStored(const std::string& aValue,
+                            const absl::Status& aStatus);
+  /// Logs that the store could not be used for the record of the target.
+  void WriteStoreFailure(const absl::Status& aStatus);
   std::string StatusFields() const;
   template<typename Input>
   void Reduce(Input aInput);
@@ -52,6 +56,8 @@
   /// The record of the target that is to be stored.
   gpStoreRecord record_;
   bool isStoring_ = false;
+  /// Whether the last write of the record failed.
+  bool isStoreFailing_ = false;
   gpHttpServer heartbeatServer_;
   std::unique_ptr<gpLeaseGuardReducer> reducer_;
 };
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -380,8 +380,9 @@
     if (aEvent.reply_ == gpOrderReply::Fence) {
       target_.RaiseFence();
     }
-    if (aEvent.reply_ == gpOrderReply::OtherTarget &&
-        !pollSchedule_.HasAnswer() && runs_.IsEmpty()) {
+    if (aEvent.reply_ == gpOrderReply::OtherTarget && target_.IsKnown() &&
+        !pollSchedule_.HasAnswer() && runs_.IsEmpty() &&
+        !stopper_.HasUnknownRuns()) {
       WriteTarget(gpEventKind::TargetLeaving, "another incarnation answered");
       target_.Forget();
     }
--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -16,6 +16,8 @@
 constexpr gpMillis kCallerTimeout{ 1500 };
 constexpr gpMillis kAnswerTimeout{ 60 };
 constexpr gpMillis kHeartbeat{ 500 };
+/// Time until the store has answered a read.
+constexpr gpMillis kStoreLatency{ 4 };
 /// Upper bound of how long a run continues after its caller has left: covers
 /// the loss of a link, the lease and repeated stops.
 constexpr gpMillis kLongestRunAfterEnd{ 3000 };
@@ -54,6 +56,7 @@
   guards_.resize(options_.guards_);
   targets_.resize(options_.guards_);
   sequences_.resize(options_.guards_);
+  records_.resize(options_.guards_);
   cutUntil_.resize(options_.guards_);
   for (std::size_t index = 0; index < options_.guards_; ++index) {
     StartTarget(index);
@@ -191,6 +194,11 @@
     found.entries_.push_back(AddressOf(entry));
   }
   GiveGuard(aIndex, found);
+  if (records_[aIndex].has_value()) {
+    AtProcess(process, now_ + kStoreLatency, [this, aIndex] {
+      GiveGuard(aIndex, gpTargetRecordRead{ *records_[aIndex] });
+    });
+  }
 }
 
 void
@@ -319,6 +327,8 @@
       CarryStop(aProcess.index_, *stop);
     } else if (const auto* poll = std::get_if<gpPollTarget>(&effect)) {
       CarryPoll(aProcess.index_, *poll);
+    } else if (const auto* record = std::get_if<gpStoreTargetRecord>(&effect)) {
+      records_[aProcess.index_] = record->target_;
     }
   }
 }
--- a/Tests/Lease/gpLeaseHistory.h
+++ b/Tests/Lease/gpLeaseHistory.h
@@ -163,6 +163,8 @@
   std::vector<Process> guards_;
   std::vector<std::unique_ptr<gpSimTarget>> targets_;
   std::vector<std::uint64_t> sequences_;
+  /// The record of its target that each guard has in the store.
+  std::vector<std::optional<gpTargetAnnouncement>> records_;
   /// Until when each target is unreachable.
   std::vector<gpTime> cutUntil_;
   std::map<std::uint64_t, Link> links_;
