--- a/Source/Command/gpExplainCommand.cxx
+++ b/Source/Command/gpExplainCommand.cxx
@@ -3,8 +3,8 @@
 #include <fstream>
 
 #include "gpError.h"
+#include "gpEventLogFiles.h"
 #include "gpExplanation.h"
-#include "gpTimelineReader.h"
 
 namespace {
 
@@ -12,26 +12,6 @@
 
 using Names = std::vector<std::string>;
 
-/// Adds the records of a file to aRecords. Names each line that can't be read
-/// on the error stream and adds their number to aUnread.
-absl::Status
-Read(const std::string& aFile,
-     std::vector<gpTimelineRecord>& aRecords,
-     std::size_t& aUnread,
-     gpConsole& aConsole)
-{
-  const absl::StatusOr<gpTimelineFile> file = gpTimelineReader::ReadFile(aFile);
-  if (!file.ok()) {
-    return file.status();
-  }
-  for (const absl::Status& error : file->errors_) {
-    aConsole.err_ << gpErrorText(error) << "\n";
-  }
-  aUnread += file->errors_.size();
-  aRecords.insert(aRecords.end(), file->records_.begin(), file->records_.end());
-  return absl::OkStatus();
-}
-
 absl::Status
 WriteFile(const std::string& aName, const std::string& aText)
 {
@@ -74,17 +54,15 @@
 gpExitCode
 gpExplainCommand::Run(const Values& aValues, gpConsole& aConsole) const
 {
-  std::vector<gpTimelineRecord> records;
-  std::size_t unread = 0;
-  for (const std::string& file : aValues["files"].as<Names>()) {
-    const absl::Status status = Read(file, records, unread, aConsole);
-    if (!status.ok()) {
-      return Fail(aConsole, status);
-    }
+  absl::StatusOr<gpEventLogRecords> logs =
+    gpReadEventLogs(aValues["files"].as<Names>(), aConsole);
+  if (!logs.ok()) {
+    return Fail(aConsole, logs.status());
   }
-  const gpExplanation explanation = gpExplain(gpTraceJobs(std::move(records)));
+  const gpExplanation explanation =
+    gpExplain(gpTraceJobs(std::move(logs->records_)));
   aConsole.out_ << gpExplanationText(explanation);
-  aConsole.out_ << "lines that could not be read: " << unread << "\n";
+  aConsole.out_ << "lines that could not be read: " << logs->unread_ << "\n";
   absl::Status status;
   if (aValues.count("json") > 0) {
     status = WriteFile(aValues["json"].as<std::string>(),
--- a/Source/Command/gpTimelineCommand.cxx
+++ b/Source/Command/gpTimelineCommand.cxx
@@ -4,8 +4,7 @@
 #include <set>
 #include <tuple>
 
-#include "gpError.h"
-#include "gpTimelineReader.h"
+#include "gpEventLogFiles.h"
 
 namespace {
 
@@ -88,22 +87,6 @@
   aOut << "\n";
 }
 
-// Adds the records of an event log file to aRecords. Prints an error for each
-// line that can't be parsed, and skips it.
-absl::Status
-Read(const std::string& aFile, Records& aRecords, gpConsole& aConsole)
-{
-  const absl::StatusOr<gpTimelineFile> file = gpTimelineReader::ReadFile(aFile);
-  if (!file.ok()) {
-    return file.status();
-  }
-  for (const absl::Status& error : file->errors_) {
-    aConsole.err_ << gpErrorText(error) << "\n";
-  }
-  aRecords.insert(aRecords.end(), file->records_.begin(), file->records_.end());
-  return absl::OkStatus();
-}
-
 } // namespace
 
 void
@@ -120,13 +103,12 @@
 gpExitCode
 gpTimelineCommand::Run(const Values& aValues, gpConsole& aConsole) const
 {
-  Records records;
-  for (const std::string& file : aValues["files"].as<Names>()) {
-    const absl::Status status = Read(file, records, aConsole);
-    if (!status.ok()) {
-      return Fail(aConsole, status);
-    }
+  absl::StatusOr<gpEventLogRecords> logs =
+    gpReadEventLogs(aValues["files"].as<Names>(), aConsole);
+  if (!logs.ok()) {
+    return Fail(aConsole, logs.status());
   }
+  Records records = std::move(logs->records_);
   if (aValues.count("job") > 0) {
     records = FilterByKey(records, aValues["job"].as<std::string>());
   }
