Lease: Log a waiting job where its tasks are placed

The dispatcher already builds the requirements of a task, with the targets to avoid, and knows the targets; the reducer built them a second time. Also removes members of the job traces that nothing read.

No decision changes.

--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -143,7 +143,7 @@
            job,
            gpAdmittedText(job, queues_.version_, wait, now_));
   dispatcher_.DispatchJob(job, now_, out_);
-  WriteWait(job);
+  dispatcher_.LogWait(job, now_, out_);
 }
 
 void
@@ -493,23 +493,6 @@
   }
 }
 
-void
-gpLeaseEntryReducer::WriteWait(const gpLeaseRecord& aJob)
-{
-  const auto waiting =
-    std::find_if(aJob.tasks_.begin(), aJob.tasks_.end(), [](const auto& aTask) {
-      return aTask.phase_ == gpLeaseTaskPhase::Waiting;
-    });
-  if (waiting == aJob.tasks_.end()) {
-    return;
-  }
-  const gpPlacementNeed need =
-    gpLeaseAdmission::NeedOf(aJob, aJob.GetStep(*waiting), now_);
-  WriteJob(gpEventKind::TaskWaiting,
-           aJob,
-           gpObstaclesText(targetTable_.FindObstacles(need, now_)));
-}
-
 void
 gpLeaseEntryReducer::WriteJob(gpEventKind aKind,
                               const gpLeaseRecord& aJob,
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -114,8 +114,6 @@
   /// Answers all remaining jobs when the shutdown time has passed.
   void AnswerAll();
   void ScheduleWake();
-  /// Logs why the job's first waiting task has no target, if there is one.
-  void WriteWait(const gpLeaseRecord& aJob);
   void WriteJob(gpEventKind aKind,
                 const gpLeaseRecord& aJob,
                 const std::string& aDetail);
--- a/Source/Lease/gpRunDispatcher.cxx
+++ b/Source/Lease/gpRunDispatcher.cxx
@@ -94,6 +94,24 @@
   }
 }
 
+void
+gpRunDispatcher::LogWait(const gpLeaseRecord& aJob,
+                         gpTime aNow,
+                         gpLeaseEffects& aOut)
+{
+  for (std::size_t index = 0; index < aJob.tasks_.size(); ++index) {
+    if (aJob.tasks_[index].phase_ == gpLeaseTaskPhase::Waiting) {
+      const gpTargetObstacles obstacles =
+        targetTable_.FindObstacles(NeedOf(aJob, index, aNow), aNow);
+      aOut.Write(gpJobLogEvent(gpEventKind::TaskWaiting,
+                               aJob.queue_.service_,
+                               aJob.job_.id_,
+                               gpObstaclesText(obstacles)));
+      return;
+    }
+  }
+}
+
 gpPlacementNeed
 gpRunDispatcher::NeedOf(const gpLeaseRecord& aJob,
                         std::size_t aTask,
--- a/Source/Lease/gpRunDispatcher.h
+++ b/Source/Lease/gpRunDispatcher.h
@@ -37,6 +37,8 @@
   void Dispatch(gpTime aNow, gpLeaseEffects& aOut);
   /// Places the waiting tasks of one job.
   void DispatchJob(gpLeaseRecord& aJob, gpTime aNow, gpLeaseEffects& aOut);
+  /// Logs why the job's first waiting task has no target, if there is one.
+  void LogWait(const gpLeaseRecord& aJob, gpTime aNow, gpLeaseEffects& aOut);
   /// Places waiting tasks at one target.
   void DispatchAt(gpIncarnation aGuard, gpTime aNow, gpLeaseEffects& aOut);
   /// Sends the orders that were collected since the last call.
--- a/Source/Report/gpJobTrace.cxx
+++ b/Source/Report/gpJobTrace.cxx
@@ -172,8 +172,6 @@
 {
   open_[{ aRecord.incarnation_, aId }] = traces_.size();
   gpJobTrace& job = traces_.emplace_back();
-  job.id_ = aId;
-  job.entry_ = aRecord.process_;
   job.arrivedAt_ = TimeOf(aRecord);
   const std::string queue = WordAfter(aRecord.event_.detail_, "queue");
   job.queue_ = queue.empty() ? "unknown" : queue;
@@ -212,11 +210,9 @@
 void
 Tracer::Report(const gpTimelineRecord& aRecord, const std::string& aTask)
 {
-  const Run run{ aTask, aRecord.event_.number_.value_or(0) };
-  runs_[run].reportedAt_ = TimeOf(aRecord);
   const auto found = open_.find({ aRecord.incarnation_, JobOf(aTask) });
   if (found != open_.end()) {
-    last_[found->second] = run;
+    last_[found->second] = { aTask, aRecord.event_.number_.value_or(0) };
   }
 }
 
--- a/Source/Report/gpJobTrace.h
+++ b/Source/Report/gpJobTrace.h
@@ -18,8 +18,6 @@
   std::optional<gpTime> startedAt_;
   /// When the guard saw the end.
   std::optional<gpTime> endedAt_;
-  /// When the entry received the report of the end.
-  std::optional<gpTime> reportedAt_;
 };
 
 /** \class gpJobTrace
@@ -27,9 +25,6 @@
  */
 struct gpJobTrace
 {
-  std::string id_;
-  /// Name of the entry's process.
-  std::string entry_;
   /// "unknown" if no line names it.
   std::string queue_;
   gpTime arrivedAt_;
