Lease: Decide in one place why a target may be given no work

MayStart and the obstacles in the log checked the same three conditions beside each other, so a new condition could be added to one alone. The order of the checks and the logged counts are as before.

--- a/Source/Lease/gpTargetTable.cxx
+++ b/Source/Lease/gpTargetTable.cxx
@@ -166,11 +166,22 @@
   return found == views_.end() ? nullptr : &found->second;
 }
 
+std::size_t gpTargetObstacles::*
+gpTargetTable::FindStartObstacle(const gpTargetView& aView, gpTime aNow)
+{
+  if (!aView.update_.takesWork_) {
+    return &gpTargetObstacles::leaving_;
+  }
+  if (!aView.health_.MayStart(aNow)) {
+    return &gpTargetObstacles::ejected_;
+  }
+  return aView.IsStalled(aNow) ? &gpTargetObstacles::stalled_ : nullptr;
+}
+
 bool
-gpTargetTable::MayStart(const gpTargetView& aView, gpTime aNow) const
+gpTargetTable::MayStart(const gpTargetView& aView, gpTime aNow)
 {
-  return aView.update_.takesWork_ && aView.health_.MayStart(aNow) &&
-         !aView.IsStalled(aNow);
+  return FindStartObstacle(aView, aNow) == nullptr;
 }
 
 double
@@ -276,17 +287,13 @@
     if (view.update_.service_ != aNeed.service_) {
       continue;
     }
-    if (!view.update_.takesWork_) {
-      ++found.leaving_;
-    } else if (!view.health_.MayStart(aNow)) {
-      ++found.ejected_;
-    } else if (view.IsStalled(aNow)) {
-      ++found.stalled_;
-    } else if (!view.GetFree().Covers(aNeed.needs_)) {
-      ++found.full_;
-    } else {
-      ++found.slow_;
+    auto obstacle = FindStartObstacle(view, aNow);
+    if (obstacle == nullptr) {
+      obstacle = view.GetFree().Covers(aNeed.needs_)
+                   ? &gpTargetObstacles::slow_
+                   : &gpTargetObstacles::full_;
     }
+    ++(found.*obstacle);
   }
   return found;
 }
--- a/Source/Lease/gpTargetTable.h
+++ b/Source/Lease/gpTargetTable.h
@@ -163,7 +163,11 @@
   bool Accepts(const gpTargetView& aView,
                const gpPlacementNeed& aNeed,
                gpTime aNow);
-  bool MayStart(const gpTargetView& aView, gpTime aNow) const;
+  /// Why the target may be given no work at all; null if it may be given some.
+  static std::size_t gpTargetObstacles::*FindStartObstacle(
+    const gpTargetView& aView,
+    gpTime aNow);
+  static bool MayStart(const gpTargetView& aView, gpTime aNow);
 
   struct Fastest
   {
