Process: Keep an entry's and a guard's record in the store by one class

The entry's registration and the guard's record of its target each had the same write with retries. gpStoreWriter does it for both. Calls to the store and log lines stay; one difference: a value that changes while a failed write waits to be repeated is sent with the repetition (500 ms at most), where the guard sent it at once and then the repetition as well.

--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr gpMillis kRegisterRetryPause{ 500 };
 /// Period in which the next peer in turn is asked for a newer configuration.
 constexpr gpMillis kUpdateRequestPeriod{ 200 };
 
@@ -59,6 +58,12 @@
       gpStoreTopic::Entries,
       { [this](const gpStoreRecord& aRecord) { OnEntryRecord(aRecord); },
         [](const absl::Status&) {} })
+  , registration_(timers_,
+                  *store_,
+                  gpStoreTopic::Entries,
+                  aSettings.name_,
+                  // The follower of the configuration logs the store's health.
+                  [](const absl::Status&) {})
 {
 }
 
@@ -84,7 +89,7 @@
   configurationFollower_.Start();
   entriesFollower_.Start();
   RequestUpdatesInTurn(kUpdateRequestPeriod);
-  Register();
+  registration_.Write(gpRenderEntryRecord(MakeSelf()));
   return status;
 }
 
@@ -261,19 +266,6 @@
   }
 }
 
-void
-gpLeaseEntryProcess::Register()
-{
-  store_->Write(gpStoreTopic::Entries,
-                { settings_.name_, gpRenderEntryRecord(MakeSelf()) },
-                [this](const absl::Status& aStatus) {
-                  if (!aStatus.ok()) {
-                    timers_.Subscribe(gpEventLoop::Now() + kRegisterRetryPause,
-                                      [this] { Register(); });
-                  }
-                });
-}
-
 void
 gpLeaseEntryProcess::OnEntriesFound(std::vector<gpAddress> aEntries)
 {
--- a/Source/Entry/gpLeaseEntryProcess.h
+++ b/Source/Entry/gpLeaseEntryProcess.h
@@ -8,6 +8,7 @@
 #include "gpLeaseEntryReducer.h"
 #include "gpLeaseNode.h"
 #include "gpStoreFollower.h"
+#include "gpStoreWriter.h"
 
 /** \class gpLeaseEntryProcess
  * \brief Runs an entry for best-effort jobs: passes events to its reducer,
@@ -51,8 +52,6 @@
   void AdoptConfiguration(const std::string& aText);
   /// The description of this entry for other processes.
   gpKnownEntry MakeSelf() const;
-  /// Writes this entry's address to the store, with retries until it succeeds.
-  void Register();
   std::string StatusFields() const;
 
   template<typename Input>
@@ -65,6 +64,8 @@
   gpHttpServer callerServer_;
   gpStoreFollower configurationFollower_;
   gpStoreFollower entriesFollower_;
+  /// This entry's record in the store, by which other processes find it.
+  gpStoreWriter registration_;
   std::unique_ptr<gpLeaseEntryReducer> reducer_;
   /// Arrival times of the submissions that have not been answered.
   std::map<gpRequestId, gpTime> receivedAt_;
--- a/Source/Guard/gpLeaseGuardProcess.cxx
+++ b/Source/Guard/gpLeaseGuardProcess.cxx
@@ -11,7 +11,6 @@
 constexpr int kNotFound = 404;
 /// Period in which the next entry in turn is asked for a newer configuration.
 constexpr gpMillis kUpdateRequestPeriod{ 1000 };
-constexpr gpMillis kStoreRetryPause{ 500 };
 
 } // namespace
 
@@ -31,6 +30,12 @@
   , announcementPort_(std::move(aAnnouncements))
   , targetPort_(aMakeTarget(httpClient_))
   , store_(aMakeStore(httpClient_))
+  , targetRecord_(
+      timers_,
+      *store_,
+      gpStoreTopic::Targets,
+      aSettings.name_,
+      [this](const absl::Status& aStatus) { WriteStoreFailure(aStatus); })
   , heartbeatServer_(
       loop_,
       gpHttpLimits{},
@@ -88,36 +93,6 @@
     });
 }
 
-void
-gpLeaseGuardProcess::StoreTargetRecord()
-{
-  if (std::exchange(isStoring_, true)) {
-    return;
-  }
-  store_->Write(gpStoreTopic::Targets,
-                record_,
-                [this, value = record_.value_](const absl::Status& aStatus) {
-                  OnTargetRecordStored(value, aStatus);
-                });
-}
-
-void
-gpLeaseGuardProcess::OnTargetRecordStored(const std::string& aValue,
-                                          const absl::Status& aStatus)
-{
-  isStoring_ = false;
-  const bool wasFailing = std::exchange(isStoreFailing_, !aStatus.ok());
-  if (aStatus.ok() && aValue == record_.value_) {
-    return;
-  }
-  if (!aStatus.ok() && !wasFailing) {
-    WriteStoreFailure(aStatus);
-  }
-  const gpMillis pause = aStatus.ok() ? gpMillis(0) : kStoreRetryPause;
-  timers_.Subscribe(gpEventLoop::Now() + pause,
-                    [this] { StoreTargetRecord(); });
-}
-
 void
 gpLeaseGuardProcess::WriteStoreFailure(const absl::Status& aStatus)
 {
@@ -197,7 +172,6 @@
   } else if (const auto* poll = std::get_if<gpPollTarget>(&aEffect)) {
     targetPort_->Poll(*poll, reduce);
   } else if (const auto* record = std::get_if<gpStoreTargetRecord>(&aEffect)) {
-    record_ = { settings_.name_, gpRenderTargetRecord(record->target_) };
-    StoreTargetRecord();
+    targetRecord_.Write(gpRenderTargetRecord(record->target_));
   }
 }
--- a/Source/Guard/gpLeaseGuardProcess.h
+++ b/Source/Guard/gpLeaseGuardProcess.h
@@ -7,6 +7,7 @@
 #include "gpLeaseGuardReducer.h"
 #include "gpLeaseNode.h"
 #include "gpStorePort.h"
+#include "gpStoreWriter.h"
 #include "gpTargetPort.h"
 
 /** \class gpLeaseGuardProcess
@@ -38,10 +39,6 @@
   /// Reads the record of the target that an earlier process has stored, so that
   /// the target can be given work before its next heartbeat.
   void ReadTargetRecord();
-  /// Stores record_; repeats it until the present one is stored.
-  void StoreTargetRecord();
-  void OnTargetRecordStored(const std::string& aValue,
-                            const absl::Status& aStatus);
   /// Logs that the store could not be used for the record of the target.
   void WriteStoreFailure(const absl::Status& aStatus);
   std::string StatusFields() const;
@@ -53,11 +50,8 @@
   std::unique_ptr<gpAnnouncementPort> announcementPort_;
   std::unique_ptr<gpTargetPort> targetPort_;
   std::unique_ptr<gpStorePort> store_;
-  /// The record of the target that is to be stored.
-  gpStoreRecord record_;
-  bool isStoring_ = false;
-  /// Whether the last write of the record failed.
-  bool isStoreFailing_ = false;
+  /// The record that ReadTargetRecord of the next process reads.
+  gpStoreWriter targetRecord_;
   gpHttpServer heartbeatServer_;
   std::unique_ptr<gpLeaseGuardReducer> reducer_;
 };
