Guard: Log when the target crashes, and which runs may be the cause

The log of a guard had no line for a crash: 0.45 s later, when the lease had expired, it said that the target didn't answer and that the runs were stopped, which is also what it says of a target that is cut off, and of runs that an entry cancels.

Now calls that break before their answer are told from those that are silent. A break followed by a refused call, or a new incarnation without a drain before, is logged as target_crashed, and each run that started at most 20 ms before as task_suspected. No decision changes.

--- a/Source/Lease/gpLeaseEvent.h
+++ b/Source/Lease/gpLeaseEvent.h
@@ -78,6 +78,7 @@
   OtherTarget, ///< refused: another incarnation answered
   NotSent,     ///< the target is unreachable; nothing was sent
   Silent,      ///< no answer; it may be carried out now or later
+  Broken,      ///< likewise: the connection broke before the answer
 };
 
 /// A call to start a run was answered, failed or timed out.
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -29,6 +29,7 @@
   , links_(options_.name_, options_.links_)
   , target_(options_.fence_)
   , stopper_(options_.service_, runs_, target_)
+  , lastCrash_(options_.fence_)
 {
 }
 
@@ -283,11 +284,16 @@
 gpLeaseGuardReducer::Announce(const gpTargetAnnouncement& aTarget)
 {
   const bool wasDraining = target_.IsKnown() && target_.Get().draining_;
+  // If another incarnation has already answered, the end of this one is known.
+  const auto earlier = target_.IsKnown() && target_.IsConfirmed()
+                         ? GetCrashableId()
+                         : std::nullopt;
   const bool isSameId = target_.IsKnown() && target_.Get().id_ == aTarget.id_;
   const bool isOther = target_.NoteHeartbeat(aTarget, now_);
   pollSchedule_.NoteHeartbeat(now_);
   runs_.SetCapacity(aTarget.capacity_);
   if (isOther) {
+    ReportCrash(earlier);
     OnNewIncarnation(isSameId);
     WriteTarget(gpEventKind::TargetAnnounced, aTarget.id_);
   }
@@ -325,35 +331,43 @@
   if (aEvent.reply_ == gpOrderReply::Accepted) {
     target_.NoteAnswer(now_);
   }
-  gpGuardRun* run = runs_.Find(aEvent.run_);
-  if (run == nullptr) {
-    return;
+  if (gpGuardRun* run = runs_.Find(aEvent.run_)) {
+    NoteStarted(*run, aEvent.reply_);
   }
-  switch (aEvent.reply_) {
+  NoteReply(aEvent.reply_);
+}
+
+void
+gpLeaseGuardReducer::NoteStarted(gpGuardRun& aRun, gpOrderReply aReply)
+{
+  // Finish removes the run.
+  const gpRunId id = aRun.id_;
+  switch (aReply) {
     case gpOrderReply::Accepted:
-      if (run->phase_ == gpRunPhase::Starting) {
-        run->phase_ = gpRunPhase::Running;
-        run->visibleSince_ = now_;
+      if (aRun.phase_ == gpRunPhase::Starting) {
+        aRun.phase_ = gpRunPhase::Running;
+        aRun.visibleSince_ = now_;
       }
       return;
     case gpOrderReply::Silent:
-      stopper_.Stop(*run, now_, out_);
+    case gpOrderReply::Broken:
+      stopper_.Stop(aRun, now_, out_);
       return;
     case gpOrderReply::Fence:
       target_.RaiseFence();
-      Finish(aEvent.run_, gpRunEnd::Unhealthy);
+      Finish(id, gpRunEnd::Unhealthy);
       return;
     case gpOrderReply::Outdated:
-      Finish(aEvent.run_, gpRunEnd::Outdated);
+      Finish(id, gpRunEnd::Outdated);
       return;
     case gpOrderReply::Late:
     case gpOrderReply::NoRoom:
-      Finish(aEvent.run_, gpRunEnd::NoRoom);
+      Finish(id, gpRunEnd::NoRoom);
       return;
     case gpOrderReply::Unhealthy:
     case gpOrderReply::OtherTarget:
     case gpOrderReply::NotSent:
-      Finish(aEvent.run_, gpRunEnd::Unhealthy);
+      Finish(id, gpRunEnd::Unhealthy);
       return;
   }
 }
@@ -366,13 +380,50 @@
     target_.RaiseFence();
   }
   stopper_.NoteReply(aEvent, now_);
+  NoteReply(aEvent.reply_);
+}
+
+void
+gpLeaseGuardReducer::NoteReply(gpOrderReply aReply)
+{
+  if (crashDetector_.NoteReply(aReply, now_)) {
+    ReportCrash(GetCrashableId());
+  }
+}
+
+std::optional<std::string>
+gpLeaseGuardReducer::GetCrashableId() const
+{
+  return target_.IsKnown() && !target_.IsLeaving()
+           ? std::optional(target_.Get().id_)
+           : std::nullopt;
+}
+
+void
+gpLeaseGuardReducer::ReportCrash(const std::optional<std::string>& aTarget)
+{
+  if (!aTarget.has_value() || !crashDetector_.IsUnreported()) {
+    crashDetector_.Restart();
+    return;
+  }
+  gpTargetCrash crash = crashDetector_.Report(runs_, now_);
+  crash.target_ = *aTarget;
+  crash.number_ = ++lastCrash_;
+  WriteTarget(gpEventKind::TargetCrashed, gpCrashText(crash));
+  for (const gpLostRun& run : crash.runs_) {
+    if (run.suspected_) {
+      WriteRun(gpEventKind::TaskSuspected, run.run_, crash.target_);
+    }
+  }
 }
 
 void
 gpLeaseGuardReducer::On(const gpPollReplied& aEvent)
 {
   target_.NoteClock(aEvent.clock_, now_);
+  const auto earlier = GetCrashableId();
   if (target_.NoteStartTime(aEvent.startTime_)) {
+    ReportCrash(earlier);
     WriteTarget(gpEventKind::TargetLeaving, "another incarnation answered");
     OnNewIncarnation(true);
   }
@@ -392,8 +443,10 @@
     if (aEvent.reply_ == gpOrderReply::NotSent) {
       target_.NoteUnreachable();
     }
+    NoteReply(aEvent.reply_);
     return;
   }
+  NoteReply(aEvent.reply_);
   target_.NoteAnswer(now_);
   pollSchedule_.NoteAnswered(aEvent.sentAt_, now_);
   for (const gpEndedRun& ended : aEvent.ended_) {
@@ -413,6 +466,7 @@
       target_.HasLeaseExpired(now_)) {
     WriteTarget(gpEventKind::TargetLeaving,
                 "no answer until its lease expired");
+    crashDetector_.NoteGivenUp(runs_);
     FinishAll();
   }
 }
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "gpCrashDetector.h"
 #include "gpEntryLinks.h"
 #include "gpLeaseEvent.h"
 #include "gpPollSchedule.h"
@@ -86,6 +87,8 @@
   void CheckPause();
   bool TakesWork() const;
   void StartOne(gpLinkId aLink, const gpRunOrder& aOrder, const gpRunId& aRun);
+  /// The call to start the run ended.
+  void NoteStarted(gpGuardRun& aRun, gpOrderReply aReply);
   /// The run has ended: reports it to its entry and frees its capacity.
   void Finish(const gpRunId& aRun, gpRunEnd aEnd);
   /// Ends all runs, after it has become certain that none is running.
@@ -93,6 +96,13 @@
   /// Ends the runs that a poll sent at aSentAt would have listed if they were
   /// still running, but didn't.
   void FinishEnded(gpTime aSentAt, const std::vector<gpRunId>& aRunning);
+  /// A call to the target ended; reports a crash of the target if it shows one.
+  void NoteReply(gpOrderReply aReply);
+  /// ID of the known target, if it isn't leaving: its end would be a crash.
+  std::optional<std::string> GetCrashableId() const;
+  /// Reports that the target has crashed, unless its end was announced (then
+  /// aTarget isn't set) or is already reported.
+  void ReportCrash(const std::optional<std::string>& aTarget);
   /// Another incarnation of the target was detected. Under another ID it can't
   /// have accepted orders of this guard, so all runs have ended. Under the same
   /// ID, orders sent last may have reached it, so all runs are stopped.
@@ -124,9 +134,12 @@
   gpRunStopper stopper_;
   gpPollSchedule pollSchedule_;
   gpTargetSpeed speed_;
+  gpCrashDetector crashDetector_;
   /// The announcement in the store, if this process knows it.
   std::optional<gpTargetAnnouncement> record_;
   std::uint64_t seenEnds_ = 0;
+  /// Number of the last crash of the target, see gpTargetCrash.
+  std::uint64_t lastCrash_;
   gpTime lastEventAt_;
   gpTime wakeAt_;
   gpTime shutdownEnd_ = gpTime::max();
--- a/Source/Lease/gpLeaseLogEvents.cxx
+++ b/Source/Lease/gpLeaseLogEvents.cxx
@@ -1,5 +1,6 @@
 #include "gpLeaseLogEvents.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "gpScaled.h"
@@ -101,3 +102,16 @@
          " mcores as of " + gpMillisText(aNow - aTarget.reportedAt_) +
          " ago, slowness " + std::to_string(slowness.count()) + " %";
 }
+
+std::string
+gpCrashText(const gpTargetCrash& aCrash)
+{
+  const auto suspected =
+    std::count_if(aCrash.runs_.begin(),
+                  aCrash.runs_.end(),
+                  [](const gpLostRun& aRun) { return aRun.suspected_; });
+  return aCrash.target_ + " crash " + std::to_string(aCrash.number_) + ", " +
+         gpMillisText(aCrash.ago_) + " ago, runs lost " +
+         std::to_string(aCrash.runs_.size()) + ", suspected " +
+         std::to_string(suspected);
+}
--- a/Source/Lease/gpLeaseLogEvents.h
+++ b/Source/Lease/gpLeaseLogEvents.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "gpCrashMessages.h"
 #include "gpIds.h"
 #include "gpLeaseJobTable.h"
 #include "gpRunMessages.h"
@@ -53,6 +54,9 @@
 /// targets, and the number of targets with each one.
 std::string
 gpObstaclesText(const gpTargetObstacles& aObstacles);
+/// Describes the crash of a target: when it was, and how many runs were lost.
+std::string
+gpCrashText(const gpTargetCrash& aCrash);
 /// Describes what the entry knew of a target when it sent a run there.
 std::string
 gpTargetText(const gpTargetView& aTarget, gpTime aNow);
--- a/Source/Model/gpTimelineEvent.cxx
+++ b/Source/Model/gpTimelineEvent.cxx
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 42> kKindNames = {
+constexpr std::array<std::string_view, 44> kKindNames = {
   "process_started",
   "listening",
   "process_stopping",
@@ -48,6 +48,8 @@
   "settings_rejected",
   "lines_dropped",
   "task_waiting",
+  "target_crashed",
+  "task_suspected",
 };
 
 static_assert(kKindNames.size() ==
--- a/Source/Model/gpTimelineEvent.h
+++ b/Source/Model/gpTimelineEvent.h
@@ -52,10 +52,12 @@
   SettingsRejected,
   LinesDropped, ///< events were not written; number_ says how many
   TaskWaiting,  ///< no target could be given the first task of a job
+  TargetCrashed,
+  TaskSuspected, ///< the task may have crashed its target
 };
 
 /// The last kind, for loops over all kinds.
-constexpr gpEventKind kGpLastEventKind = gpEventKind::TaskWaiting;
+constexpr gpEventKind kGpLastEventKind = gpEventKind::TaskSuspected;
 
 /** \class gpTimelineEvent
  * \brief One event of the event log. The log adds the process and the time.
