--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -10,6 +10,7 @@
 constexpr const char* kService = "pond-order";
 constexpr const char* kHost = "ponds";
 constexpr const char* kPath = "/hold/";
+constexpr const char* kSecondPath = "/check/";
 constexpr std::uint64_t kTargetMilliCores = 4000;
 constexpr std::uint64_t kTaskMilliCores = 1000;
 constexpr std::size_t kTasks = 3;
@@ -36,6 +37,9 @@
   gpQueueTable table;
   table.version_ = gpConfigVersion(1);
   table.queues_.push_back(queue);
+  queue.name_ = gpQueueName("check");
+  queue.prefix_ = kSecondPath;
+  table.queues_.push_back(queue);
   return table;
 }
 
@@ -415,6 +419,7 @@
     const gpOrderReply reply = target->Start(aStart, run, now_);
     if (reply == gpOrderReply::Accepted) {
       CheckStarted(aStart.run_);
+      CarryDeadly(aGuard, aStart.run_.task_);
     }
     return reply;
   };
@@ -522,6 +527,7 @@
   caller.answered_ = true;
   if (aAnswer.outcome_ == gpLeaseOutcome::Completed) {
     ++completed_;
+    firstQueueCompleted_ += PathOf(caller.job_) == kPath ? 1 : 0;
     if (doneTasks_[caller.job_].size() != kTasks) {
       Break("job " + caller.job_ + " is complete without all of its tasks");
     }
@@ -536,6 +542,13 @@
   } else {
     caller.left_ = true;
     caller.leftAt_ = now_;
+    if (options_.resubmitsFailed_ &&
+        aAnswer.reason_ != gpLeaseReason::TaskFailed) {
+      At(now_ + kShortestResend,
+         [this, job = caller.job_, tries = caller.tries_] {
+           Submit(job, tries + 1);
+         });
+    }
   }
 }
 
@@ -545,10 +558,23 @@
   if (now_ >= end_) {
     return;
   }
-  Submit("job" + std::to_string(++lastJob_), 1);
+  const std::string job = "job" + std::to_string(++lastJob_);
+  if (PathOf(job) == kSecondPath && Chance(options_.deadlyJobs_)) {
+    deadly_.AddJob(job);
+  }
+  firstQueueJobs_ += PathOf(job) == kPath ? 1 : 0;
+  Submit(job, 1);
   At(now_ + gpMillis(5 + Draw(60)), [this] { SubmitLater(); });
 }
 
+std::string
+gpLeaseHistory::PathOf(const std::string& aJob) const
+{
+  const bool isSecond =
+    options_.deadlyJobs_ > 0 && (aJob.back() - '0') % 2 == 0;
+  return isSecond ? kSecondPath : kPath;
+}
+
 void
 gpLeaseHistory::Submit(const std::string& aJob, int aTries)
 {
@@ -568,7 +594,7 @@
   gpLeaseJob job;
   job.id_ = aJob;
   job.host_ = kHost;
-  job.path_ = std::string(kPath) + aJob;
+  job.path_ = PathOf(aJob) + aJob;
   job.callerTimeout_ = kCallerTimeout;
   gpJobStep step;
   step.count_ = kTasks;
@@ -627,7 +653,7 @@
       Freeze(guards_[Draw(guards_.size())]);
       break;
     case 6:
-      CrashTarget(Draw(guards_.size()));
+      CrashTarget(Draw(guards_.size()), gpMillis(50 + Draw(800)));
       break;
     default:
       CutTarget(Draw(guards_.size()));
@@ -754,13 +780,32 @@
 }
 
 void
-gpLeaseHistory::CrashTarget(std::size_t aGuard)
+gpLeaseHistory::CrashTarget(std::size_t aGuard, gpMillis aDowntime)
 {
   if (targets_[aGuard] == nullptr) {
     return;
   }
   targets_[aGuard].reset();
-  At(now_ + gpMillis(50 + Draw(800)), [this, aGuard] { StartTarget(aGuard); });
+  At(now_ + aDowntime, [this, aGuard] { StartTarget(aGuard); });
+}
+
+void
+gpLeaseHistory::CarryDeadly(std::size_t aGuard, const std::string& aTask)
+{
+  if (!deadly_.Contains(aTask)) {
+    return;
+  }
+  if (!deadly_.NoteStart(aTask)) {
+    Break(aTask +
+          " was started three times after it had crashed three targets");
+  }
+  At(now_ + gpDeadlyTasks::kCrashDelay,
+     [this, aGuard, aTask, target = targets_[aGuard].get()] {
+       if (targets_[aGuard].get() == target) {
+         deadly_.NoteCrash(aTask);
+         CrashTarget(aGuard, gpDeadlyTasks::kDowntime);
+       }
+     });
 }
 
 void
--- a/Tests/Lease/gpLeaseHistory.h
+++ b/Tests/Lease/gpLeaseHistory.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "gpDeadlyTasks.h"
 #include "gpLeaseEntryReducer.h"
 #include "gpLeaseGuardReducer.h"
 #include "gpSimTarget.h"
@@ -33,6 +34,12 @@
   unsigned lostOrders_ = 40;
   /// Whether targets are unreachable for some time while they run.
   bool targetCuts_ = false;
+  /// Jobs of the second queue, of 1000, with a task that crashes each target
+  /// that starts it. Half of all jobs go to the second queue.
+  unsigned deadlyJobs_ = 0;
+  /// Whether callers submit a job again that failed for another reason than
+  /// its tasks.
+  bool resubmitsFailed_ = false;
 };
 
 /** \class gpLeaseHistory
@@ -45,7 +52,8 @@
  * The invariants are checked after every event: no task has two runs at one
  * time, no target exceeds its capacity, no request is answered twice, a job is
  * only completed with all of its tasks, a job that was answered not_run never
- * runs, and runs end within a bound after their caller has left.
+ * runs, runs end within a bound after their caller has left, and a task that
+ * has crashed three targets isn't started three times more.
  */
 class gpLeaseHistory
 {
@@ -55,6 +63,12 @@
   /// Runs the history. Returns the violated invariants, with the seed.
   std::vector<std::string> Run();
   std::size_t CountCompleted() const { return completed_; }
+  /// Number of jobs of the first queue, all of which can be done, and how many
+  /// of them were completed.
+  std::size_t CountFirstQueueJobs() const { return firstQueueJobs_; }
+  std::size_t CountFirstQueueCompleted() const { return firstQueueCompleted_; }
+  /// Number of targets that deadly tasks have crashed.
+  std::size_t CountDeadlyCrashes() const { return deadly_.CountCrashes(); }
   std::size_t CountRefused() const { return refused_; }
   std::size_t CountStarts() const { return starts_; }
   /// Number of links that guards closed because other entries replaced them.
@@ -137,13 +151,17 @@
 
   void SubmitLater();
   void Submit(const std::string& aJob, int aTries);
+  /// The path of the queue to which the job belongs.
+  std::string PathOf(const std::string& aJob) const;
   /// A caller that lost its connection submits its job again, once.
   void SubmitAgain(gpRequestId aRequest);
   void Fault();
   void BreakLink(bool aSilent);
   void Kill(Process& aProcess);
   void Freeze(Process& aProcess);
-  void CrashTarget(std::size_t aGuard);
+  void CrashTarget(std::size_t aGuard, gpMillis aDowntime);
+  /// A task has started at a target, which it may crash.
+  void CarryDeadly(std::size_t aGuard, const std::string& aTask);
   /// Makes the target unreachable for a random time.
   void CutTarget(std::size_t aGuard);
   bool IsCut(std::size_t aGuard) const { return now_ < cutUntil_[aGuard]; }
@@ -185,4 +203,7 @@
   std::size_t refused_ = 0;
   std::size_t starts_ = 0;
   std::size_t moves_ = 0;
+  gpDeadlyTasks deadly_;
+  std::size_t firstQueueJobs_ = 0;
+  std::size_t firstQueueCompleted_ = 0;
 };
--- a/Tests/Lease/testLeaseHistories.cxx
+++ b/Tests/Lease/testLeaseHistories.cxx
@@ -49,6 +49,20 @@
   BOOST_TEST(completed > count);
 }
 
+/// A tenth of the jobs of one queue have a task that crashes each target that
+/// starts it.
+gpLeaseHistoryOptions
+MakeDeadlyOptions()
+{
+  gpLeaseHistoryOptions options;
+  options.guards_ = 11;
+  options.length_ = gpMillis(8000);
+  options.lostOrders_ = 0;
+  options.deadlyJobs_ = 100;
+  options.resubmitsFailed_ = true;
+  return options;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(HistoriesWithoutFaultsComplete)
@@ -95,3 +109,34 @@
   options.length_ = gpMillis(5000);
   RunHistories(options, 1000);
 }
+
+// Guards against a task that is placed again each time after it has crashed its
+// target, as the run counts as stopped and a repeated submission as a new job.
+BOOST_AUTO_TEST_CASE(HistoriesWithDeadlyTasksGiveThemUp,
+                     *boost::unit_test::disabled())
+{
+  RunHistories(MakeDeadlyOptions(), 100);
+}
+
+// Guards against one queue whose tasks crash targets as fast as they return, so
+// that no queue is served.
+BOOST_AUTO_TEST_CASE(HistoriesWithDeadlyTasksServeTheOtherQueue,
+                     *boost::unit_test::disabled())
+{
+  constexpr double kLeastShare = 0.9;
+  gpLeaseHistoryOptions options = MakeDeadlyOptions();
+  options.faultPause_ = gpMillis(0);
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    options.seed_ = seed;
+    gpLeaseHistory history(options);
+    history.Run();
+    const auto jobs = static_cast<double>(history.CountFirstQueueJobs());
+    const auto completed =
+      static_cast<double>(history.CountFirstQueueCompleted());
+    BOOST_TEST_MESSAGE("seed " << seed << ": " << completed << " of " << jobs
+                               << " jobs, " << history.CountDeadlyCrashes()
+                               << " crashes");
+    BOOST_TEST(history.CountDeadlyCrashes() > 0U);
+    BOOST_TEST(completed >= kLeastShare * jobs);
+  }
+}
