--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -260,7 +260,8 @@
   }
   const absl::StatusOr<gpKnownEntry> entry = gpParseEntryRecord(aRecord.value_);
   if (entry.ok()) {
-    Reduce(gpMessageReceived{ gpLinkId(), gpEntryUpdate{ { *entry }, {} } });
+    Reduce(
+      gpMessageReceived{ gpLinkId(), gpEntryUpdate{ { *entry }, {}, {} } });
   } else {
     NoteBadInput(gpErrorCodeOf(entry.status()));
   }
--- a/Source/Lease/gpCrashDetector.cxx
+++ b/Source/Lease/gpCrashDetector.cxx
@@ -1,26 +1,38 @@
 #include "gpCrashDetector.h"
 
-bool
+#include <cmath>
+
+void
 gpCrashDetector::NoteReply(gpOrderReply aReply, gpTime aNow)
 {
   switch (aReply) {
     case gpOrderReply::Silent:
     case gpOrderReply::OtherTarget:
-      return false;
+      return;
     case gpOrderReply::Broken:
       brokenAt_ = brokenAt_.value_or(aNow);
-      return false;
+      return;
     case gpOrderReply::NotSent:
       // Before its first answer, the target may not be listening yet.
-      return IsUnreported();
+      if (IsUnreported()) {
+        refusedAt_ = refusedAt_.value_or(aNow);
+      }
+      return;
     default:
+      Restart();
       answeredAt_ = aNow;
-      brokenAt_.reset();
-      givenUp_.clear();
-      return false;
   }
 }
 
+void
+gpCrashDetector::Restart()
+{
+  answeredAt_.reset();
+  brokenAt_.reset();
+  refusedAt_.reset();
+  givenUp_.clear();
+}
+
 void
 gpCrashDetector::NoteGivenUp(const gpRunTable& aRuns)
 {
@@ -32,12 +44,13 @@
 bool
 gpCrashDetector::IsSuspected(const gpGuardRun& aRun) const
 {
-  if (brokenAt_.has_value()) {
-    return aRun.orderedAt_ >= *brokenAt_ - kSuspectedAge &&
-           aRun.orderedAt_ <= *brokenAt_;
+  const gpTime crashedAt = GetCrashTime();
+  if (aRun.orderedAt_ < crashedAt - kSuspectedAge) {
+    return false;
   }
-  // The time of the crash is only known to be after the last answer.
-  return aRun.orderedAt_ >= *answeredAt_ - kSuspectedAge;
+  // Without a refused call, the crash is only known to be after the last
+  // answer.
+  return aRun.orderedAt_ <= crashedAt || !refusedAt_.has_value();
 }
 
 std::vector<gpLostRun>
@@ -45,11 +58,30 @@
 {
   std::vector<gpLostRun> lost;
   for (const gpGuardRun& run : givenUp_) {
-    lost.push_back({ run.id_, IsSuspected(run) });
+    lost.push_back({ run.id_, run.queue_, IsSuspected(run) });
   }
   for (const auto& [id, run] : aRuns.GetAll()) {
-    lost.push_back({ id, IsSuspected(run) });
+    lost.push_back({ id, run.queue_, IsSuspected(run) });
   }
   Restart();
   return lost;
 }
+
+std::vector<gpQueueActivity>
+gpCrashDetector::ListQueues() const
+{
+  constexpr double kPermille = 1000;
+  std::vector<gpQueueActivity> queues;
+  if (!refusedAt_.has_value()) {
+    return queues;
+  }
+  for (const auto& [queue, rate] : rates_) {
+    const double chance = rate.ChanceOfStart(kSuspectedAge, GetCrashTime());
+    const auto permille =
+      static_cast<std::uint32_t>(std::lround(chance * kPermille));
+    if (permille > 0) {
+      queues.push_back({ queue, permille });
+    }
+  }
+  return queues;
+}
--- a/Source/Lease/gpCrashLedger.cxx
+++ b/Source/Lease/gpCrashLedger.cxx
@@ -11,8 +11,8 @@
 /// target would have failed without it.
 constexpr std::uint32_t kMostSuspected = 2;
 /// A task is given up after this many crashes, even if it had always run for
-/// long.
-constexpr std::uint32_t kMostCrashes = 3;
+/// long. The platform allows two more starts after the third crash.
+constexpr std::uint32_t kMostCrashes = 4;
 /// How long a crash is remembered. Callers submit a job again within seconds.
 constexpr gpMillis kKeepTime{ 120000 };
 /// Limits the memory when many targets crash.
@@ -56,15 +56,36 @@
   }
 }
 
-bool
-gpCrashLedger::IsSuspected(const std::string& aTask) const
+const gpCrashLedger::Count*
+gpCrashLedger::Find(const std::string& aTask) const
 {
-  const auto job = jobs_.find(gpJobOfTask(aTask));
+  const auto job = jobs_.empty() ? jobs_.end() : jobs_.find(gpJobOfTask(aTask));
   if (job == jobs_.end()) {
-    return false;
+    return nullptr;
   }
   const auto task = job->second.tasks_.find(aTask);
-  return task != job->second.tasks_.end() && task->second.suspected_ > 0;
+  return task == job->second.tasks_.end() ? nullptr : &task->second;
+}
+
+bool
+gpCrashLedger::IsSuspected(const std::string& aTask) const
+{
+  const Count* count = Find(aTask);
+  return count != nullptr && count->suspected_ > 0;
+}
+
+bool
+gpCrashLedger::IsCleared(const std::string& aTask) const
+{
+  const Count* count = Find(aTask);
+  return count != nullptr && count->suspected_ == 0;
+}
+
+bool
+gpCrashLedger::IsDeadly(const std::string& aTask) const
+{
+  const Count* count = Find(aTask);
+  return count != nullptr && count->suspected_ >= kMostSuspected;
 }
 
 bool
--- a/Source/Lease/gpCrashLedger.h
+++ b/Source/Lease/gpCrashLedger.h
@@ -28,6 +28,11 @@
   bool Add(const gpTargetCrash& aCrash, gpTime aNow);
   /// Whether the task is suspected of a crash.
   bool IsSuspected(const std::string& aTask) const;
+  /// Whether the task has been running for long when its target crashed, so
+  /// that starting it is safe.
+  bool IsCleared(const std::string& aTask) const;
+  /// Whether the task was suspected so often that it is the cause.
+  bool IsDeadly(const std::string& aTask) const;
   /// Whether a task of the job must not be started any more.
   bool IsGivenUp(const std::string& aJob) const;
 
@@ -45,6 +50,8 @@
   };
 
   void DropOld(gpTime aNow);
+  /// Null if the task was never lost in a crash.
+  const Count* Find(const std::string& aTask) const;
 
   /// By the ID of the job.
   std::map<std::string, Job> jobs_;
--- a/Source/Lease/gpEntryPeers.cxx
+++ b/Source/Lease/gpEntryPeers.cxx
@@ -30,7 +30,7 @@
     finder_.Release(link, aOut);
   }
   if (!crashes_.empty()) {
-    SendToEntries({ {}, std::exchange(crashes_, {}) }, aOut);
+    SendToEntries({ {}, std::exchange(crashes_, {}), {} }, aOut);
   }
   const auto update = finder_.TakeUpdate(aNow);
   if (!update.has_value()) {
--- a/Source/Lease/gpLeaseAdmission.cxx
+++ b/Source/Lease/gpLeaseAdmission.cxx
@@ -19,6 +19,9 @@
 /// whole seconds.
 constexpr gpMillis kShortestRetry{ 1000 };
 constexpr gpMillis kLongestRetry{ 10000 };
+/// Shortest retry time for jobs of a queue whose tasks crash targets: until
+/// some of the targets that serve it are back.
+constexpr gpMillis kContainedRetry{ 3000 };
 /// A job should start at the latest its expected run time, multiplied by this
 /// factor, before its deadline.
 constexpr double kRunTimeMargin = 1.5;
@@ -51,13 +54,24 @@
   if (aQueue == nullptr) {
     return gpLeaseAnswer{ Outcome::NoQueue, Reason::None, std::nullopt };
   }
-  if (!targetTable_.HasTarget(aQueue->service_)) {
+  const gpServiceName& service = aQueue->service_;
+  constexpr auto kAny = gpPlacementScope::AnyTarget;
+  if (!targetTable_.HasTarget(service, kAny)) {
     return gpLeaseAnswer{ Outcome::NotRun, Reason::NoTarget, kShortestRetry };
   }
+  const gpPlacementScope scope = containment_.ScopeOf(*aQueue);
+  bool isOutOfScope = !targetTable_.HasTarget(service, scope);
   for (const gpJobStep& step : aJob.steps_) {
-    if (!targetTable_.CouldHold(aQueue->service_, step.needs_)) {
+    if (!targetTable_.CouldHold(service, kAny, step.needs_)) {
       return gpLeaseAnswer{ Outcome::NotRun, Reason::TooLarge, std::nullopt };
     }
+    isOutOfScope =
+      isOutOfScope || !targetTable_.CouldHold(service, scope, step.needs_);
+  }
+  if (isOutOfScope) {
+    return gpLeaseAnswer{ Outcome::NotRun,
+                          Reason::QueueContained,
+                          kContainedRetry };
   }
   return std::nullopt;
 }
@@ -94,18 +108,19 @@
 gpMillis
 gpLeaseAdmission::PredictWait(const gpLeaseRecord& aJob) const
 {
+  const gpPlacementScope scope = containment_.ScopeOf(aJob.queue_);
   double work = 0;
   for (const auto& key : jobs_.GetWaiting()) {
     const gpLeaseRecord& job = jobs_.GetAll().at(key.job_);
     if (job.needsFastTarget_ != aJob.needsFastTarget_ ||
-        job.dueAt_ > aJob.dueAt_) {
+        job.dueAt_ > aJob.dueAt_ || containment_.ScopeOf(job.queue_) != scope) {
       continue;
     }
     const gpJobStep& step = job.GetStep(job.tasks_[key.task_]);
     work += static_cast<double>(step.needs_.milliCores_) *
             static_cast<double>(step.estimate_.count());
   }
-  const double share = targetTable_.GetShare(aJob.queue_.service_);
+  const double share = targetTable_.GetShare(aJob.queue_.service_, scope);
   if (work == 0 || share == 0) {
     return gpMillis(0);
   }
@@ -115,9 +130,12 @@
 gpLeaseAnswer
 gpLeaseAdmission::RefuseOverloaded(const gpLeaseRecord& aJob) const
 {
+  const gpMillis shortest = containment_.IsContained(aJob.queue_.name_)
+                              ? kContainedRetry
+                              : kShortestRetry;
   return { gpLeaseOutcome::NotRun,
            gpLeaseReason::Overloaded,
-           std::clamp(PredictWait(aJob), kShortestRetry, kLongestRetry) };
+           std::clamp(PredictWait(aJob), shortest, kLongestRetry) };
 }
 
 gpPlacementNeed
--- a/Source/Lease/gpLeaseAdmission.h
+++ b/Source/Lease/gpLeaseAdmission.h
@@ -5,6 +5,7 @@
 
 #include "gpLeaseEvent.h"
 #include "gpLeaseJobTable.h"
+#include "gpQueueContainment.h"
 #include "gpRunTimeEstimator.h"
 #include "gpTargetTable.h"
 
@@ -19,9 +20,11 @@
 {
 public:
   gpLeaseAdmission(const gpTargetTable& aTargetTable,
-                   const gpLeaseJobTable& aJobs)
+                   const gpLeaseJobTable& aJobs,
+                   const gpQueueContainment& aContainment)
     : targetTable_(aTargetTable)
     , jobs_(aJobs)
+    , containment_(aContainment)
   {
   }
 
@@ -39,8 +42,8 @@
                            gpTime aNow);
   /// Predicts how long a job would wait for free capacity: the work of waiting
   /// tasks that are due earlier, over this entry's share of the targets. Only
-  /// jobs of the same speed class (needsFastTarget_) are counted, as others
-  /// wait for other targets.
+  /// jobs of the same speed class (needsFastTarget_) and scope are counted, as
+  /// others wait for other targets.
   gpMillis PredictWait(const gpLeaseRecord& aJob) const;
   /// The answer to a job that would start too late, or has not started in time.
   gpLeaseAnswer RefuseOverloaded(const gpLeaseRecord& aJob) const;
@@ -52,5 +55,6 @@
 private:
   const gpTargetTable& targetTable_;
   const gpLeaseJobTable& jobs_;
+  const gpQueueContainment& containment_;
   gpRunTimeEstimator estimator_;
 };
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -38,8 +38,12 @@
   , peers_(options_.self_, options_.links_)
   , targetTable_(options_.self_.dataCentre_)
   , recentCrashes_(kCrashKeepTime)
-  , admission_(targetTable_, jobs_)
-  , dispatcher_(jobs_, targetTable_, crashLedger_, options_.firstRun_)
+  , admission_(targetTable_, jobs_, containment_)
+  , dispatcher_(jobs_,
+                targetTable_,
+                crashLedger_,
+                containment_,
+                options_.firstRun_)
 {
 }
 
@@ -205,10 +209,11 @@
   gpEntryUpdate update = peers_.MakeUpdate(now_);
   if (peer.role_ == gpRole::Guard) {
     guards_.insert_or_assign(aEvent.link_, peer.incarnation_);
-    targetTable_.OnLinked(peer.incarnation_, aEvent.link_);
+    targetTable_.OnLinked(peer, aEvent.link_);
   } else {
     peers_.OnLinked(aEvent);
     update.crashes_ = recentCrashes_.List();
+    update.contained_ = containment_.List();
   }
   out_.Send(aEvent.link_, std::move(update));
 }
@@ -347,7 +352,9 @@
     return;
   }
   for (const gpTargetCrash& crash : aMessage.crashes_) {
-    LearnCrash(crash);
+    if (LearnCrash(crash)) {
+      ContainQueues(crash, aMessage.service_);
+    }
   }
   targetTable_.OnTargetUpdate(guard->second, aMessage);
   dispatcher_.Dispatch(now_, out_);
@@ -371,13 +378,18 @@
   for (const gpTargetCrash& crash : aMessage.crashes_) {
     LearnCrash(crash);
   }
+  for (const gpContainedQueue& queue : aMessage.contained_) {
+    if (containment_.Contain(queue, now_)) {
+      WriteQueue(gpEventKind::QueueContained, queue);
+    }
+  }
 }
 
-void
+bool
 gpLeaseEntryReducer::LearnCrash(const gpTargetCrash& aCrash)
 {
   if (!crashLedger_.Add(aCrash, now_)) {
-    return;
+    return false;
   }
   recentCrashes_.DropOld(now_);
   recentCrashes_.Add(aCrash, now_);
@@ -389,6 +401,49 @@
       FailJob(*job, gpLeaseReason::TaskCrashes);
     }
   }
+  return true;
+}
+
+void
+gpLeaseEntryReducer::ContainQueues(const gpTargetCrash& aCrash,
+                                   const gpServiceName& aService)
+{
+  for (const gpContainedQueue& queue :
+       containment_.NoteCrash(aCrash, aService, now_)) {
+    WriteQueue(gpEventKind::QueueContained, queue);
+  }
+  const std::set<gpQueueName> suspected = gpSuspectedQueues(aCrash);
+  if (suspected.size() != 1) {
+    return;
+  }
+  const bool isDeadly = std::any_of(
+    aCrash.runs_.begin(), aCrash.runs_.end(), [this](const gpLostRun& aRun) {
+      return aRun.suspected_ && crashLedger_.IsDeadly(aRun.run_.task_);
+    });
+  const gpContainedQueue queue{ *suspected.begin(), aService };
+  if (isDeadly && containment_.Contain(queue, now_)) {
+    WriteQueue(gpEventKind::QueueContained, queue);
+  }
+}
+
+void
+gpLeaseEntryReducer::ReleaseQueues()
+{
+  const auto hasTarget = [this](const gpServiceName& aService) {
+    return targetTable_.HasTarget(aService, gpPlacementScope::SetApart);
+  };
+  for (const gpContainedQueue& queue : containment_.Release(hasTarget, now_)) {
+    WriteQueue(gpEventKind::QueueReleased, queue);
+  }
+}
+
+void
+gpLeaseEntryReducer::WriteQueue(gpEventKind aKind,
+                                const gpContainedQueue& aQueue)
+{
+  gpTimelineEvent event = gpProcessLogEvent(aKind, aQueue.queue_.value_);
+  event.key_ = gpServiceKey{ aQueue.service_, gpSubmissionKey() };
+  out_.Write(std::move(event));
 }
 
 void
@@ -397,6 +452,7 @@
   if (wakeAt_ != gpTime{}) {
     lag_.NoteTimer(wakeAt_, now_);
   }
+  ReleaseQueues();
   CheckAllTimes();
   dispatcher_.Dispatch(now_, out_);
 }
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -99,8 +99,13 @@
   void EndJob(gpLeaseRecord& aJob, const gpLeaseAnswer& aAnswer);
   void FailJob(gpLeaseRecord& aJob, gpLeaseReason aReason);
   /// Counts a crash of a target, tells the other entries of it, and fails the
-  /// jobs that have to be given up.
-  void LearnCrash(const gpTargetCrash& aCrash);
+  /// jobs that have to be given up. Returns false if the crash is known.
+  bool LearnCrash(const gpTargetCrash& aCrash);
+  /// Contains queues whose tasks crash targets of the service.
+  void ContainQueues(const gpTargetCrash& aCrash,
+                     const gpServiceName& aService);
+  void ReleaseQueues();
+  void WriteQueue(gpEventKind aKind, const gpContainedQueue& aQueue);
   void OnTaskDone(gpLeaseRecord& aJob, std::size_t aTask);
   /// A run ended without completing its task: places the task again, or fails
   /// the job if its attempts are used up.
@@ -131,6 +136,7 @@
   gpTargetTable targetTable_;
   gpLeaseJobTable jobs_;
   gpCrashLedger crashLedger_;
+  gpQueueContainment containment_;
   /// Crashes of which entries are told that link later.
   gpRecentCrashes recentCrashes_;
   gpLeaseAdmission admission_;
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -42,6 +42,9 @@
   now_ = aEvent.now_;
   CheckPause();
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
+  if (now_ >= crashDetector_.GetReportTime()) {
+    ReportCrash(GetCrashableId());
+  }
   stopper_.Repeat(pollSchedule_.GetPause(), now_, out_);
   Poll();
   links_.Update(runs_, now_, out_);
@@ -177,6 +180,7 @@
   gpGuardRun run;
   run.id_ = aRun;
   run.owner_ = links_.GetEntry(aLink);
+  run.queue_ = aOrder.queue_;
   run.needs_ = aOrder.needs_;
   run.estimate_ = aOrder.estimate_;
   run.orderedAt_ = now_;
@@ -184,6 +188,7 @@
     Refuse(aLink, aRun, gpRunEnd::Outdated);
     return;
   }
+  crashDetector_.NoteStart(aOrder.queue_, now_);
   WriteRun(gpEventKind::TaskAdmitted, aRun, "");
   out_.Add(gpStartRun{ target_.Get().id_,
                        aRun,
@@ -337,7 +342,7 @@
   if (gpGuardRun* run = runs_.Find(aEvent.run_)) {
     NoteStarted(*run, aEvent.reply_);
   }
-  NoteReply(aEvent.reply_);
+  crashDetector_.NoteReply(aEvent.reply_, now_);
 }
 
 void
@@ -383,15 +388,7 @@
     target_.RaiseFence();
   }
   stopper_.NoteReply(aEvent, now_);
-  NoteReply(aEvent.reply_);
-}
-
-void
-gpLeaseGuardReducer::NoteReply(gpOrderReply aReply)
-{
-  if (crashDetector_.NoteReply(aReply, now_)) {
-    ReportCrash(GetCrashableId());
-  }
+  crashDetector_.NoteReply(aEvent.reply_, now_);
 }
 
 std::optional<std::string>
@@ -410,9 +407,9 @@
     return;
   }
   const gpMicros ago = now_ - crashDetector_.GetCrashTime();
-  const gpTargetCrash crash{ *aTarget,
-                             ++lastCrash_,
-                             crashDetector_.TakeLostRuns(runs_) };
+  gpTargetCrash crash{ *aTarget, ++lastCrash_, {}, {} };
+  crash.queues_ = crashDetector_.ListQueues();
+  crash.runs_ = crashDetector_.TakeLostRuns(runs_);
   WriteTarget(gpEventKind::TargetCrashed, gpCrashText(crash, ago));
   for (const gpLostRun& run : crash.runs_) {
     if (run.suspected_) {
@@ -448,10 +445,10 @@
     if (aEvent.reply_ == gpOrderReply::NotSent) {
       target_.NoteUnreachable();
     }
-    NoteReply(aEvent.reply_);
+    crashDetector_.NoteReply(aEvent.reply_, now_);
     return;
   }
-  NoteReply(aEvent.reply_);
+  crashDetector_.NoteReply(aEvent.reply_, now_);
   target_.NoteAnswer(now_);
   pollSchedule_.NoteAnswered(aEvent.sentAt_, now_);
   for (const gpEndedRun& ended : aEvent.ended_) {
@@ -556,6 +553,7 @@
   }
   const gpTime updateAt = links_.GetNextUpdateTime(runs_.GetFree());
   when = std::min(when, std::max(updateAt, soonest));
+  when = std::min(when, std::max(crashDetector_.GetReportTime(), soonest));
   const gpTime stopAt = stopper_.GetNext(pollSchedule_.GetPause());
   when = std::min(when, std::max(stopAt, soonest));
   if (wakeAt_ <= now_ || when < wakeAt_) {
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -97,8 +97,6 @@
   /// Ends the runs that a poll sent at aSentAt would have listed if they were
   /// still running, but didn't.
   void FinishEnded(gpTime aSentAt, const std::vector<gpRunId>& aRunning);
-  /// A call to the target ended; reports a crash of the target if it shows one.
-  void NoteReply(gpOrderReply aReply);
   /// ID of the known target, if it isn't leaving: its end would be a crash.
   std::optional<std::string> GetCrashableId() const;
   /// Reports that the target has crashed, unless its end was announced (then
--- a/Source/Lease/gpLeaseJob.h
+++ b/Source/Lease/gpLeaseJob.h
@@ -62,6 +62,7 @@
   NoTarget,        ///< no target of the service accepts work
   TooLarge,        ///< a task needs more than any target's capacity
   Overloaded,      ///< it would start too late for its objective
+  QueueContained,  ///< the few targets for queues that crash targets are down
   ShuttingDown,    ///< the entry accepts no new jobs
   Duplicate,       ///< answer to a request whose job was submitted again
   TaskFailed,      ///< a task used up the queue's maximum of attempts
--- a/Source/Lease/gpRunDispatcher.cxx
+++ b/Source/Lease/gpRunDispatcher.cxx
@@ -47,14 +47,22 @@
 {
   const auto& waiting = jobs_.GetWaiting();
   // Misses are counted apart for tasks that can use any target [1] and for
-  // tasks that need a fast one [0].
-  std::array<int, 2> misses{};
+  // tasks that need a fast one [0]. Tasks of contained queues ([2] and [3]) use
+  // other targets.
+  constexpr std::size_t kContained = 2;
+  std::array<int, 4> misses{};
   std::uint64_t missedJob = 0;
   auto next = waiting.begin();
   while (next != waiting.end()) {
     const auto [anySpeed, dueAt, sequence, index] = *next++;
-    int& missed = misses.at(anySpeed ? 1 : 0);
+    gpLeaseRecord& job = *jobs_.Find(sequence);
+    const bool isContained = containment_.IsContained(job.queue_.name_);
+    int& missed =
+      misses.at((anySpeed ? 1 : 0) + (isContained ? kContained : 0));
     if (missed >= kMostMisses) {
+      if (containment_.IsInForce()) {
+        continue;
+      }
       if (anySpeed) {
         return;
       }
@@ -66,7 +74,6 @@
     if (sequence == missedJob) {
       continue;
     }
-    gpLeaseRecord& job = *jobs_.Find(sequence);
     const gpPlacementNeed need = NeedOf(job, index, aNow);
     const auto guard = aPlace(need);
     if (guard.has_value()) {
@@ -126,9 +133,23 @@
     gpLeaseAdmission::NeedOf(aJob, aJob.GetStep(task), aNow);
   need.avoid_ = task.avoid_;
   need.isSuspected_ = crashes_.IsSuspected(task.name_);
+  need.scope_ = ScopeOf(aJob, task);
   return need;
 }
 
+gpPlacementScope
+gpRunDispatcher::ScopeOf(const gpLeaseRecord& aJob,
+                         const gpLeaseTask& aTask) const
+{
+  if (crashes_.IsSuspected(aTask.name_)) {
+    return gpPlacementScope::SetApart;
+  }
+  const gpPlacementScope scope = containment_.ScopeOf(aJob.queue_);
+  return scope == gpPlacementScope::SetApart && crashes_.IsCleared(aTask.name_)
+           ? gpPlacementScope::Others
+           : scope;
+}
+
 void
 gpRunDispatcher::SendRun(gpLeaseRecord& aJob,
                          std::size_t aTask,
@@ -142,7 +163,7 @@
   task.stragglerAt_ = gpStragglerTime(step, aNow);
   targetTable_.NoteSent(aGuard, task.run_, NeedOf(aJob, aTask, aNow), aNow);
   const gpTargetView& view = *targetTable_.Find(aGuard);
-  orders_.Add(view.link_, aJob.job_, task.step_, task.run_);
+  orders_.Add(view.link_, aJob, task.step_, task.run_);
   aOut.Write(gpTaskLogEvent(
     gpEventKind::TaskSent, aJob, task.run_, aGuard, gpTargetText(view, aNow)));
 }
--- a/Source/Lease/gpRunDispatcher.h
+++ b/Source/Lease/gpRunDispatcher.h
@@ -28,10 +28,12 @@
   gpRunDispatcher(gpLeaseJobTable& aJobs,
                   gpTargetTable& aTargetTable,
                   const gpCrashLedger& aCrashes,
+                  const gpQueueContainment& aContainment,
                   std::uint64_t aFirstRun)
     : jobs_(aJobs)
     , targetTable_(aTargetTable)
     , crashes_(aCrashes)
+    , containment_(aContainment)
     , orders_(aFirstRun)
   {
   }
@@ -62,13 +64,16 @@
     std::function<std::optional<gpIncarnation>(const gpPlacementNeed& aNeed)>;
 
   /// Places waiting tasks in their order. Stops for tasks of a speed class
-  /// (needing a fast target or not) after kMostMisses of them found no target.
+  /// (needing a fast target or not), contained queues apart, after kMostMisses
+  /// of them found no target.
   void DispatchWaiting(const Placement& aPlace,
                        gpTime aNow,
                        gpLeaseEffects& aOut);
   gpPlacementNeed NeedOf(const gpLeaseRecord& aJob,
                          std::size_t aTask,
                          gpTime aNow) const;
+  gpPlacementScope ScopeOf(const gpLeaseRecord& aJob,
+                           const gpLeaseTask& aTask) const;
   void SendRun(gpLeaseRecord& aJob,
                std::size_t aTask,
                gpIncarnation aGuard,
@@ -78,5 +83,6 @@
   gpLeaseJobTable& jobs_;
   gpTargetTable& targetTable_;
   const gpCrashLedger& crashes_;
+  const gpQueueContainment& containment_;
   gpRunOrders orders_;
 };
--- a/Source/Lease/gpRunOrders.cxx
+++ b/Source/Lease/gpRunOrders.cxx
@@ -31,14 +31,16 @@
 
 void
 gpRunOrders::Add(gpLinkId aLink,
-                 const gpLeaseJob& aJob,
+                 const gpLeaseRecord& aJob,
                  std::uint32_t aStep,
                  const gpRunId& aRun)
 {
-  gpRunOrder& order = orders_[Key{ aLink, aJob.id_, aStep }];
-  order.spec_ = aJob.spec_;
-  order.needs_ = aJob.steps_[aStep].needs_;
-  order.estimate_ = aJob.steps_[aStep].estimate_;
+  const gpLeaseJob& job = aJob.job_;
+  gpRunOrder& order = orders_[Key{ aLink, job.id_, aStep }];
+  order.queue_ = aJob.queue_.name_;
+  order.spec_ = job.spec_;
+  order.needs_ = job.steps_[aStep].needs_;
+  order.estimate_ = job.steps_[aStep].estimate_;
   order.runs_.push_back(aRun);
 }
 
--- a/Source/Lease/gpRunOrders.h
+++ b/Source/Lease/gpRunOrders.h
@@ -6,6 +6,7 @@
 #include <tuple>
 
 #include "gpLeaseEvent.h"
+#include "gpLeaseJobTable.h"
 
 /** \class gpRunOrders
  * \brief Numbers the runs of an entry, and collects the orders of one event:
@@ -28,7 +29,7 @@
   /// has seen a higher one.
   void SkipAhead();
   void Add(gpLinkId aLink,
-           const gpLeaseJob& aJob,
+           const gpLeaseRecord& aJob,
            std::uint32_t aStep,
            const gpRunId& aRun);
   void Flush(gpLeaseEffects& aOut);
--- a/Source/Lease/gpRunTable.h
+++ b/Source/Lease/gpRunTable.h
@@ -27,6 +27,7 @@
   gpRunId id_;
   /// The entry that ordered the run, which receives its report.
   std::optional<gpIncarnation> owner_;
+  gpQueueName queue_;
   gpResources needs_;
   /// Expected run time on a target of average speed.
   gpMillis estimate_{ 0 };
--- a/Source/Lease/gpTargetTable.cxx
+++ b/Source/Lease/gpTargetTable.cxx
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <vector>
+
+#include "gpDigest.h"
 
 namespace {
 
@@ -49,6 +52,15 @@
 /// Pause before an ejected target is probed.
 constexpr gpMillis kProbeAfter{ 1000 };
 
+/// Number of targets of a service that are set apart for queues whose tasks
+/// crash targets: one of kSetApartPart, at least one.
+std::size_t
+CountSetApart(std::size_t aTargets)
+{
+  constexpr std::size_t kSetApartPart = 5;
+  return (aTargets + kSetApartPart - 1) / kSetApartPart;
+}
+
 /// Rounds the slowness to a speed class. Targets of about the same speed count
 /// as equal, so that measurement noise doesn't make all entries choose the same
 /// one.
@@ -115,29 +127,61 @@
 }
 
 void
-gpTargetTable::OnLinked(gpIncarnation aGuard, gpLinkId aLink)
+gpTargetTable::OnLinked(const gpPeer& aGuard, gpLinkId aLink)
 {
-  gpTargetView& view = views_[aGuard];
+  gpTargetView& view = views_[aGuard.incarnation_];
+  view.name_ = aGuard.name_;
   view.link_ = aLink;
   view.runsOrdered_ = 0;
   view.unreported_.clear();
-  fastest_.clear();
+  UpdateScopes();
 }
 
 void
 gpTargetTable::OnLost(gpIncarnation aGuard)
 {
   views_.erase(aGuard);
+  UpdateScopes();
+}
+
+void
+gpTargetTable::UpdateScopes()
+{
   fastest_.clear();
+  std::map<gpServiceName, std::vector<std::pair<std::uint64_t, gpTargetView*>>>
+    services;
+  for (auto& [guard, view] : views_) {
+    services[view.update_.service_].emplace_back(gpStableHash(view.name_, 0),
+                                                 &view);
+  }
+  for (auto& [service, targets] : services) {
+    std::sort(targets.begin(), targets.end());
+    const std::size_t setApart = CountSetApart(targets.size());
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+      auto& scopes = targets[index].second->scopes_;
+      if (targets.size() == 1) {
+        scopes = { gpPlacementScope::SetApart, gpPlacementScope::Others };
+      } else {
+        scopes = { index < setApart ? gpPlacementScope::SetApart
+                                    : gpPlacementScope::Others };
+      }
+    }
+  }
 }
 
 void
 gpTargetTable::OnTargetUpdate(gpIncarnation aGuard,
                               const gpTargetUpdate& aUpdate)
 {
-  if (gpTargetView* view = Find(aGuard)) {
-    view->update_ = aUpdate;
-    fastest_.clear();
+  gpTargetView* view = Find(aGuard);
+  if (view == nullptr) {
+    return;
+  }
+  const bool isMoved = view->update_.service_ != aUpdate.service_;
+  view->update_ = aUpdate;
+  fastest_.clear();
+  if (isMoved) {
+    UpdateScopes();
   }
 }
 
@@ -212,11 +256,14 @@
 }
 
 double
-gpTargetTable::FindFastest(const gpServiceName& aService, gpTime aNow) const
+gpTargetTable::FindFastest(const gpServiceName& aService,
+                           gpPlacementScope aScope,
+                           gpTime aNow) const
 {
   double fastest = std::numeric_limits<double>::infinity();
   for (const auto& [guard, view] : views_) {
-    if (view.update_.service_ == aService && MayStart(view, aNow)) {
+    if (view.update_.service_ == aService && view.IsIn(aScope) &&
+        MayStart(view, aNow)) {
       fastest = std::min(fastest, view.slowness_);
     }
   }
@@ -224,13 +271,15 @@
 }
 
 double
-gpTargetTable::FastestSlowness(const gpServiceName& aService, gpTime aNow)
+gpTargetTable::FastestSlowness(const gpServiceName& aService,
+                               gpPlacementScope aScope,
+                               gpTime aNow)
 {
-  const auto [found, isNew] = fastest_.try_emplace(aService);
+  const auto [found, isNew] = fastest_.try_emplace({ aService, aScope });
   Fastest& fastest = found->second;
   if (isNew || aNow >= fastest.foundAt_ + kFastestTime) {
     considered_ += views_.size();
-    fastest = { FindFastest(aService, aNow), aNow };
+    fastest = { FindFastest(aService, aScope, aNow), aNow };
   }
   return fastest.slowness_;
 }
@@ -241,7 +290,7 @@
                        gpTime aNow)
 {
   ++considered_;
-  if (aView.update_.service_ != aNeed.service_ ||
+  if (aView.update_.service_ != aNeed.service_ || !aView.IsIn(aNeed.scope_) ||
       !aView.GetFree().Covers(aNeed.needs_) || !MayStart(aView, aNow) ||
       (aNeed.isSuspected_ && aNow < aView.suspectedUntil_)) {
     return false;
@@ -252,7 +301,8 @@
     static_cast<double>(aNeed.timeLeft_.count()) /
     (static_cast<double>(aNeed.estimate_.count() + 1) * kTooSlowMargin);
   return aView.slowness_ <= longest ||
-         aView.slowness_ <= kClassWidth * FastestSlowness(aNeed.service_, aNow);
+         aView.slowness_ <=
+           kClassWidth * FastestSlowness(aNeed.service_, aNeed.scope_, aNow);
 }
 
 bool
@@ -292,7 +342,8 @@
     if (view.update_.service_ != aNeed.service_) {
       continue;
     }
-    auto obstacle = FindStartObstacle(view, aNow);
+    auto obstacle = view.IsIn(aNeed.scope_) ? FindStartObstacle(view, aNow)
+                                            : &gpTargetObstacles::outOfScope_;
     if (obstacle == nullptr) {
       obstacle = view.GetFree().Covers(aNeed.needs_)
                    ? &gpTargetObstacles::slow_
@@ -371,31 +422,36 @@
 }
 
 bool
-gpTargetTable::HasTarget(const gpServiceName& aService) const
+gpTargetTable::HasTarget(const gpServiceName& aService,
+                         gpPlacementScope aScope) const
 {
   return std::any_of(views_.begin(), views_.end(), [&](const auto& aEntry) {
     const gpTargetUpdate& update = aEntry.second.update_;
-    return update.takesWork_ && update.service_ == aService;
+    return update.takesWork_ && update.service_ == aService &&
+           aEntry.second.IsIn(aScope);
   });
 }
 
 bool
 gpTargetTable::CouldHold(const gpServiceName& aService,
+                         gpPlacementScope aScope,
                          const gpResources& aNeeds) const
 {
   return std::any_of(views_.begin(), views_.end(), [&](const auto& aEntry) {
     const gpTargetUpdate& update = aEntry.second.update_;
-    return update.service_ == aService && update.capacity_.Covers(aNeeds);
+    return update.service_ == aService && aEntry.second.IsIn(aScope) &&
+           update.capacity_.Covers(aNeeds);
   });
 }
 
 double
-gpTargetTable::GetShare(const gpServiceName& aService) const
+gpTargetTable::GetShare(const gpServiceName& aService,
+                        gpPlacementScope aScope) const
 {
   double share = 0;
   for (const auto& [guard, view] : views_) {
     if (view.update_.takesWork_ && view.update_.service_ == aService &&
-        !view.health_.IsEjected()) {
+        view.IsIn(aScope) && !view.health_.IsEjected()) {
       share += static_cast<double>(view.update_.capacity_.milliCores_) /
                (view.slowness_ * view.sharingEntries_);
     }
--- a/Source/Lease/gpTargetTable.h
+++ b/Source/Lease/gpTargetTable.h
@@ -12,6 +12,8 @@
 #include <vector>
 
 #include "gpIds.h"
+#include "gpPeer.h"
+#include "gpPlacementScope.h"
 #include "gpRunMessages.h"
 #include "gpTargetHealth.h"
 #include "gpTime.h"
@@ -22,6 +24,10 @@
 struct gpTargetView
 {
   gpLinkId link_;
+  /// Name of the guard.
+  std::string name_;
+  /// The scopes, besides AnyTarget, of which the target is part.
+  std::set<gpPlacementScope> scopes_;
   gpTargetUpdate update_;
   gpResources reportedFree_;
   gpTime reportedAt_;
@@ -48,6 +54,10 @@
   gpResources GetFree() const;
   /// Whether a run is so late that the target may have stopped working.
   bool IsStalled(gpTime aNow) const;
+  bool IsIn(gpPlacementScope aScope) const
+  {
+    return aScope == gpPlacementScope::AnyTarget || scopes_.contains(aScope);
+  }
 };
 
 /** \class gpPlacementNeed
@@ -67,6 +77,7 @@
   gpMillis timeLeft_{ 0 };
   /// Guards to be chosen only if there is no other.
   std::set<gpIncarnation> avoid_;
+  gpPlacementScope scope_ = gpPlacementScope::AnyTarget;
   /// Whether the task is suspected of having crashed a target.
   bool isSuspected_ = false;
 };
@@ -77,6 +88,9 @@
  */
 struct gpTargetObstacles
 {
+  /// The task may not use the target, as its queue's tasks crash targets, or as
+  /// the target is set apart for such a queue.
+  std::size_t outOfScope_ = 0;
   std::size_t leaving_ = 0;
   std::size_t ejected_ = 0;
   /// A run there is so late that the target may have stopped working.
@@ -86,9 +100,10 @@
   std::size_t slow_ = 0;
 
   /// The numbers with their names in logs.
-  std::array<std::pair<const char*, std::size_t>, 5> List() const
+  std::array<std::pair<const char*, std::size_t>, 6> List() const
   {
-    return { { { "leaving", leaving_ },
+    return { { { "out_of_scope", outOfScope_ },
+               { "leaving", leaving_ },
                { "ejected", ejected_ },
                { "stalled", stalled_ },
                { "full", full_ },
@@ -109,7 +124,7 @@
   {
   }
 
-  void OnLinked(gpIncarnation aGuard, gpLinkId aLink);
+  void OnLinked(const gpPeer& aGuard, gpLinkId aLink);
   void OnLost(gpIncarnation aGuard);
   void OnTargetUpdate(gpIncarnation aGuard, const gpTargetUpdate& aUpdate);
   /// Returns true if the target may have more free capacity than before.
@@ -147,14 +162,15 @@
                  gpTime aNow);
 
   /// Whether any target of the service accepts work.
-  bool HasTarget(const gpServiceName& aService) const;
+  bool HasTarget(const gpServiceName& aService, gpPlacementScope aScope) const;
   /// Whether any target of the service has the capacity for the task when it's
   /// idle.
   bool CouldHold(const gpServiceName& aService,
+                 gpPlacementScope aScope,
                  const gpResources& aNeeds) const;
   /// This entry's share of the processor of all targets of the service that
   /// accept work, in thousandths of a core of average speed.
-  double GetShare(const gpServiceName& aService) const;
+  double GetShare(const gpServiceName& aService, gpPlacementScope aScope) const;
 
 private:
   /// Median slowness of the targets that may be given work; 1 if there are
@@ -162,8 +178,15 @@
   double MedianSlowness(const gpServiceName& aService, gpTime aNow) const;
   /// Lowest slowness of the targets that may be given work, cached for
   /// kFastestTime.
-  double FastestSlowness(const gpServiceName& aService, gpTime aNow);
-  double FindFastest(const gpServiceName& aService, gpTime aNow) const;
+  double FastestSlowness(const gpServiceName& aService,
+                         gpPlacementScope aScope,
+                         gpTime aNow);
+  double FindFastest(const gpServiceName& aService,
+                     gpPlacementScope aScope,
+                     gpTime aNow) const;
+  /// Chooses the targets of each service that are set apart. All entries choose
+  /// the same ones of those that they know.
+  void UpdateScopes();
   bool Accepts(const gpTargetView& aView,
                const gpPlacementNeed& aNeed,
                gpTime aNow);
@@ -181,6 +204,6 @@
 
   gpDataCentreName dataCentre_;
   std::map<gpIncarnation, gpTargetView> views_;
-  std::map<gpServiceName, Fastest> fastest_;
+  std::map<std::pair<gpServiceName, gpPlacementScope>, Fastest> fastest_;
   std::uint64_t considered_ = 0;
 };
--- a/Source/Model/gpCrashMessages.h
+++ b/Source/Model/gpCrashMessages.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "gpIds.h"
 #include "gpRunId.h"
 
 /** \brief Contents of messages about crashes of targets; see
@@ -15,12 +17,38 @@
 struct gpLostRun
 {
   gpRunId run_;
+  gpQueueName queue_;
   /// Whether it started so shortly before the crash that it may be the cause.
   bool suspected_ = false;
 
   bool operator==(const gpLostRun&) const = default;
 };
 
+/** \class gpQueueActivity
+ * \brief How often tasks of a queue start at a target.
+ */
+struct gpQueueActivity
+{
+  gpQueueName queue_;
+  /// Chance, in thousandths, that a run of the queue is suspected of a crash
+  /// with which it has nothing to do.
+  std::uint32_t chancePermille_ = 0;
+
+  bool operator==(const gpQueueActivity&) const = default;
+};
+
+/** \class gpContainedQueue
+ * \brief A queue whose tasks crash targets, and so may use only a few of the
+ * service's targets.
+ */
+struct gpContainedQueue
+{
+  gpQueueName queue_;
+  gpServiceName service_;
+
+  bool operator==(const gpContainedQueue&) const = default;
+};
+
 /** \class gpTargetCrash
  * \brief A crash of a target, or the loss of one that can't be told from a
  * crash. Known by the ID of the target and the number.
@@ -32,6 +60,22 @@
   /// Tells the crashes of a target apart; increases with each.
   std::uint64_t number_ = 0;
   std::vector<gpLostRun> runs_;
+  /// The queues whose tasks have started at the target lately. Empty if the
+  /// time of the crash isn't known.
+  std::vector<gpQueueActivity> queues_;
 
   bool operator==(const gpTargetCrash&) const = default;
 };
+
+/// The queues of the runs that are suspected of the crash.
+inline std::set<gpQueueName>
+gpSuspectedQueues(const gpTargetCrash& aCrash)
+{
+  std::set<gpQueueName> queues;
+  for (const gpLostRun& run : aCrash.runs_) {
+    if (run.suspected_) {
+      queues.insert(run.queue_);
+    }
+  }
+  return queues;
+}
--- a/Source/Model/gpIds.h
+++ b/Source/Model/gpIds.h
@@ -37,6 +37,8 @@
 using gpDataCentreName = gpStrongType<struct gpDataCentreNameTag, std::string>;
 using gpRackName = gpStrongType<struct gpRackNameTag, std::string>;
 /// The submission ID that a caller chose (HTTP header Idempotency-Key).
+/// The name of a queue of best-effort jobs.
+using gpQueueName = gpStrongType<struct gpQueueNameTag, std::string>;
 using gpSubmissionKey = gpStrongType<struct gpSubmissionKeyTag, std::string>;
 /// IP number and port, as "127.0.0.1:8080".
 using gpAddress = gpStrongType<struct gpAddressTag, std::string>;
--- a/Source/Model/gpQueueTable.h
+++ b/Source/Model/gpQueueTable.h
@@ -8,8 +8,6 @@
 #include "gpIds.h"
 #include "gpTime.h"
 
-using gpQueueName = gpStrongType<struct gpQueueNameTag, std::string>;
-
 /** \class gpQueue
  * \brief A queue of jobs: the path to which callers submit them, and how they
  * are run, as the operator configured it.
--- a/Source/Model/gpRunMessages.h
+++ b/Source/Model/gpRunMessages.h
@@ -30,6 +30,8 @@
   /// Expected time of each run on a target of average speed.
   gpMillis estimate_{ 0 };
   std::vector<gpRunId> runs_;
+  /// The queue of the tasks' job; empty from entries of an older version.
+  gpQueueName queue_;
 
   bool operator==(const gpRunOrder&) const = default;
 };
@@ -134,12 +136,14 @@
 /** \class gpEntryUpdate
  * \brief Entry to any process: entries and crashes that the sender knows. All
  * of them are sent when the link opens, and later each one that the sender
- * learns of. Guards are sent no crashes.
+ * learns of. Guards are only sent entries.
  */
 struct gpEntryUpdate
 {
   std::vector<gpKnownEntry> entries_;
   std::vector<gpTargetCrash> crashes_;
+  /// Sent when the link opens.
+  std::vector<gpContainedQueue> contained_;
 
   bool operator==(const gpEntryUpdate&) const = default;
 };
--- a/Source/Model/gpTimelineEvent.cxx
+++ b/Source/Model/gpTimelineEvent.cxx
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 44> kKindNames = {
+constexpr std::array<std::string_view, 46> kKindNames = {
   "process_started",
   "listening",
   "process_stopping",
@@ -50,6 +50,8 @@
   "task_waiting",
   "target_crashed",
   "task_suspected",
+  "queue_contained",
+  "queue_released",
 };
 
 static_assert(kKindNames.size() ==
--- a/Source/Model/gpTimelineEvent.h
+++ b/Source/Model/gpTimelineEvent.h
@@ -53,11 +53,13 @@
   LinesDropped, ///< events were not written; number_ says how many
   TaskWaiting,  ///< no target could be given the first task of a job
   TargetCrashed,
-  TaskSuspected, ///< the task may have crashed its target
+  TaskSuspected,  ///< the task may have crashed its target
+  QueueContained, ///< tasks of the queue crash targets; it may use only a few
+  QueueReleased,
 };
 
 /// The last kind, for loops over all kinds.
-constexpr gpEventKind kGpLastEventKind = gpEventKind::TaskSuspected;
+constexpr gpEventKind kGpLastEventKind = gpEventKind::QueueReleased;
 
 /** \class gpTimelineEvent
  * \brief One event of the event log. The log adds the process and the time.
--- a/Source/Wire/gpWireRuns.cxx
+++ b/Source/Wire/gpWireRuns.cxx
@@ -87,14 +87,49 @@
 gpWriteWire(FlatBufferBuilder& aBuilder, const gpLostRun& aIn)
 {
   const auto run = gpWriteWire(aBuilder, aIn.run_);
-  return gpWire::CreateLostRun(aBuilder, run, aIn.suspected_);
+  const auto queue = aBuilder.CreateString(aIn.queue_.value_);
+  return gpWire::CreateLostRun(aBuilder, run, queue, aIn.suspected_);
 }
 
 bool
 gpReadWire(gpWireReader& aReader, const gpWire::LostRun* aIn, gpLostRun& aOut)
 {
   aOut.suspected_ = aIn->suspected();
-  return gpReadWire(aReader, aIn->run(), aOut.run_);
+  return gpReadWire(aReader, aIn->run(), aOut.run_) &&
+         aReader.Read(aIn->queue(), aOut.queue_);
+}
+
+Offset<gpWire::QueueActivity>
+gpWriteWire(FlatBufferBuilder& aBuilder, const gpQueueActivity& aIn)
+{
+  const auto queue = aBuilder.CreateString(aIn.queue_.value_);
+  return gpWire::CreateQueueActivity(aBuilder, queue, aIn.chancePermille_);
+}
+
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::QueueActivity* aIn,
+           gpQueueActivity& aOut)
+{
+  aOut.chancePermille_ = aIn->chance_permille();
+  return aReader.Read(aIn->queue(), aOut.queue_);
+}
+
+Offset<gpWire::ContainedQueue>
+gpWriteWire(FlatBufferBuilder& aBuilder, const gpContainedQueue& aIn)
+{
+  const auto queue = aBuilder.CreateString(aIn.queue_.value_);
+  const auto service = aBuilder.CreateString(aIn.service_.value_);
+  return gpWire::CreateContainedQueue(aBuilder, queue, service);
+}
+
+bool
+gpReadWire(gpWireReader& aReader,
+           const gpWire::ContainedQueue* aIn,
+           gpContainedQueue& aOut)
+{
+  return aReader.Read(aIn->queue(), aOut.queue_) &&
+         aReader.Read(aIn->service(), aOut.service_);
 }
 
 Offset<gpWire::TargetCrash>
@@ -102,7 +137,8 @@
 {
   const auto target = aBuilder.CreateString(aIn.target_);
   const auto runs = gpWriteTables(aBuilder, aIn.runs_);
-  return gpWire::CreateTargetCrash(aBuilder, target, aIn.number_, runs);
+  const auto queues = gpWriteTables(aBuilder, aIn.queues_);
+  return gpWire::CreateTargetCrash(aBuilder, target, aIn.number_, runs, queues);
 }
 
 bool
@@ -112,7 +148,8 @@
 {
   aOut.number_ = aIn->number();
   return aReader.Read(aIn->target(), aOut.target_) &&
-         aReader.ReadTables(aIn->runs(), aOut.runs_);
+         aReader.ReadTables(aIn->runs(), aOut.runs_) &&
+         aReader.ReadTables(aIn->queues(), aOut.queues_);
 }
 
 Offset<gpWire::RunOrder>
@@ -121,8 +158,9 @@
   const auto spec = aBuilder.CreateString(aIn.spec_);
   const auto needs = WriteResources(aBuilder, aIn.needs_);
   const auto runs = gpWriteTables(aBuilder, aIn.runs_);
+  const auto queue = aBuilder.CreateString(aIn.queue_.value_);
   return gpWire::CreateRunOrder(
-    aBuilder, spec, needs, aIn.estimate_.count(), runs);
+    aBuilder, spec, needs, aIn.estimate_.count(), runs, queue);
 }
 
 bool
@@ -131,7 +169,8 @@
   return aReader.Read(aIn->spec(), aOut.spec_) &&
          ReadResources(aReader, aIn->needs(), aOut.needs_) &&
          aReader.ReadDuration(aIn->estimate_ms(), aOut.estimate_) &&
-         aReader.ReadTables(aIn->runs(), aOut.runs_);
+         aReader.ReadTables(aIn->runs(), aOut.runs_) &&
+         (aIn->queue() == nullptr || aReader.Read(aIn->queue(), aOut.queue_));
 }
 
 Offset<gpWire::RunCancel>
@@ -182,11 +221,12 @@
 
 namespace {
 
-/// Reads the crashes in a message; a sender of an earlier version has none.
+/// Reads tables that senders of an earlier version leave out.
+template<typename Table, typename Model>
 bool
-ReadCrashes(gpWireReader& aReader,
-            const flatbuffers::Vector<Offset<gpWire::TargetCrash>>* aIn,
-            std::vector<gpTargetCrash>& aOut)
+ReadOptional(gpWireReader& aReader,
+             const flatbuffers::Vector<Offset<Table>>* aIn,
+             std::vector<Model>& aOut)
 {
   return aIn == nullptr || aReader.ReadTables(aIn, aOut);
 }
@@ -215,7 +255,7 @@
          aReader.Read(aIn->data_centre(), aOut.dataCentre_) &&
          ReadTexts(aReader, aIn->labels(), aOut.labels_) &&
          ReadResources(aReader, aIn->capacity(), aOut.capacity_) &&
-         ReadCrashes(aReader, aIn->crashes(), aOut.crashes_);
+         ReadOptional(aReader, aIn->crashes(), aOut.crashes_);
 }
 
 Offset<gpWire::RoomReport>
@@ -261,7 +301,8 @@
 {
   const auto entries = gpWriteTables(aBuilder, aIn.entries_);
   const auto crashes = gpWriteTables(aBuilder, aIn.crashes_);
-  return gpWire::CreateEntryNews(aBuilder, entries, crashes);
+  const auto contained = gpWriteTables(aBuilder, aIn.contained_);
+  return gpWire::CreateEntryNews(aBuilder, entries, crashes, contained);
 }
 
 bool
@@ -270,5 +311,6 @@
            gpEntryUpdate& aOut)
 {
   return aReader.ReadTables(aIn->entries(), aOut.entries_) &&
-         ReadCrashes(aReader, aIn->crashes(), aOut.crashes_);
+         ReadOptional(aReader, aIn->crashes(), aOut.crashes_) &&
+         ReadOptional(aReader, aIn->contained(), aOut.contained_);
 }
--- a/Source/Wire/gpWire_generated.h
+++ b/Source/Wire/gpWire_generated.h
@@ -131,6 +131,12 @@
 struct LostRun;
 struct LostRunBuilder;
 
+struct QueueActivity;
+struct QueueActivityBuilder;
+
+struct ContainedQueue;
+struct ContainedQueueBuilder;
+
 struct TargetCrash;
 struct TargetCrashBuilder;
 
@@ -3438,7 +3444,8 @@
     VT_SPEC = 4,
     VT_NEEDS = 6,
     VT_ESTIMATE_MS = 8,
-    VT_RUNS = 10
+    VT_RUNS = 10,
+    VT_QUEUE = 12
   };
   const flatbuffers::String *spec() const {
     return GetPointer<const flatbuffers::String *>(VT_SPEC);
@@ -3452,6 +3459,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>> *runs() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>> *>(VT_RUNS);
   }
+  const flatbuffers::String *queue() const {
+    return GetPointer<const flatbuffers::String *>(VT_QUEUE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SPEC) &&
@@ -3462,6 +3472,8 @@
            VerifyOffsetRequired(verifier, VT_RUNS) &&
            verifier.VerifyVector(runs()) &&
            verifier.VerifyVectorOfTables(runs()) &&
+           VerifyOffset(verifier, VT_QUEUE) &&
+           verifier.VerifyString(queue()) &&
            verifier.EndTable();
   }
 };
@@ -3482,6 +3494,9 @@
   void add_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>>> runs) {
     fbb_.AddOffset(RunOrder::VT_RUNS, runs);
   }
+  void add_queue(flatbuffers::Offset<flatbuffers::String> queue) {
+    fbb_.AddOffset(RunOrder::VT_QUEUE, queue);
+  }
   explicit RunOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3501,9 +3516,11 @@
     flatbuffers::Offset<flatbuffers::String> spec = 0,
     flatbuffers::Offset<gpWire::Resources> needs = 0,
     int64_t estimate_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>>> runs = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>>> runs = 0,
+    flatbuffers::Offset<flatbuffers::String> queue = 0) {
   RunOrderBuilder builder_(_fbb);
   builder_.add_estimate_ms(estimate_ms);
+  builder_.add_queue(queue);
   builder_.add_runs(runs);
   builder_.add_needs(needs);
   builder_.add_spec(spec);
@@ -3520,15 +3537,18 @@
     const char *spec = nullptr,
     flatbuffers::Offset<gpWire::Resources> needs = 0,
     int64_t estimate_ms = 0,
-    const std::vector<flatbuffers::Offset<gpWire::RunId>> *runs = nullptr) {
+    const std::vector<flatbuffers::Offset<gpWire::RunId>> *runs = nullptr,
+    const char *queue = nullptr) {
   auto spec__ = spec ? _fbb.CreateString(spec) : 0;
   auto runs__ = runs ? _fbb.CreateVector<flatbuffers::Offset<gpWire::RunId>>(*runs) : 0;
+  auto queue__ = queue ? _fbb.CreateString(queue) : 0;
   return gpWire::CreateRunOrder(
       _fbb,
       spec__,
       needs,
       estimate_ms,
-      runs__);
+      runs__,
+      queue__);
 }
 
 struct RunCancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3723,11 +3743,15 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_RUN = 4,
-    VT_SUSPECTED = 6
+    VT_QUEUE = 6,
+    VT_SUSPECTED = 8
   };
   const gpWire::RunId *run() const {
     return GetPointer<const gpWire::RunId *>(VT_RUN);
   }
+  const flatbuffers::String *queue() const {
+    return GetPointer<const flatbuffers::String *>(VT_QUEUE);
+  }
   bool suspected() const {
     return GetField<uint8_t>(VT_SUSPECTED, 0) != 0;
   }
@@ -3735,6 +3759,8 @@
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_RUN) &&
            verifier.VerifyTable(run()) &&
+           VerifyOffsetRequired(verifier, VT_QUEUE) &&
+           verifier.VerifyString(queue()) &&
            VerifyField<uint8_t>(verifier, VT_SUSPECTED, 1) &&
            verifier.EndTable();
   }
@@ -3747,6 +3773,9 @@
   void add_run(flatbuffers::Offset<gpWire::RunId> run) {
     fbb_.AddOffset(LostRun::VT_RUN, run);
   }
+  void add_queue(flatbuffers::Offset<flatbuffers::String> queue) {
+    fbb_.AddOffset(LostRun::VT_QUEUE, queue);
+  }
   void add_suspected(bool suspected) {
     fbb_.AddElement<uint8_t>(LostRun::VT_SUSPECTED, static_cast<uint8_t>(suspected), 0);
   }
@@ -3758,6 +3787,7 @@
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<LostRun>(end);
     fbb_.Required(o, LostRun::VT_RUN);
+    fbb_.Required(o, LostRun::VT_QUEUE);
     return o;
   }
 };
@@ -3765,8 +3795,10 @@
 inline flatbuffers::Offset<LostRun> CreateLostRun(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<gpWire::RunId> run = 0,
+    flatbuffers::Offset<flatbuffers::String> queue = 0,
     bool suspected = false) {
   LostRunBuilder builder_(_fbb);
+  builder_.add_queue(queue);
   builder_.add_run(run);
   builder_.add_suspected(suspected);
   return builder_.Finish();
@@ -3777,13 +3809,170 @@
   static auto constexpr Create = CreateLostRun;
 };
 
+inline flatbuffers::Offset<LostRun> CreateLostRunDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<gpWire::RunId> run = 0,
+    const char *queue = nullptr,
+    bool suspected = false) {
+  auto queue__ = queue ? _fbb.CreateString(queue) : 0;
+  return gpWire::CreateLostRun(
+      _fbb,
+      run,
+      queue__,
+      suspected);
+}
+
+struct QueueActivity FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QueueActivityBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_QUEUE = 4,
+    VT_CHANCE_PERMILLE = 6
+  };
+  const flatbuffers::String *queue() const {
+    return GetPointer<const flatbuffers::String *>(VT_QUEUE);
+  }
+  uint32_t chance_permille() const {
+    return GetField<uint32_t>(VT_CHANCE_PERMILLE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_QUEUE) &&
+           verifier.VerifyString(queue()) &&
+           VerifyField<uint32_t>(verifier, VT_CHANCE_PERMILLE, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct QueueActivityBuilder {
+  typedef QueueActivity Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_queue(flatbuffers::Offset<flatbuffers::String> queue) {
+    fbb_.AddOffset(QueueActivity::VT_QUEUE, queue);
+  }
+  void add_chance_permille(uint32_t chance_permille) {
+    fbb_.AddElement<uint32_t>(QueueActivity::VT_CHANCE_PERMILLE, chance_permille, 0);
+  }
+  explicit QueueActivityBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QueueActivity> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QueueActivity>(end);
+    fbb_.Required(o, QueueActivity::VT_QUEUE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QueueActivity> CreateQueueActivity(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> queue = 0,
+    uint32_t chance_permille = 0) {
+  QueueActivityBuilder builder_(_fbb);
+  builder_.add_chance_permille(chance_permille);
+  builder_.add_queue(queue);
+  return builder_.Finish();
+}
+
+struct QueueActivity::Traits {
+  using type = QueueActivity;
+  static auto constexpr Create = CreateQueueActivity;
+};
+
+inline flatbuffers::Offset<QueueActivity> CreateQueueActivityDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *queue = nullptr,
+    uint32_t chance_permille = 0) {
+  auto queue__ = queue ? _fbb.CreateString(queue) : 0;
+  return gpWire::CreateQueueActivity(
+      _fbb,
+      queue__,
+      chance_permille);
+}
+
+struct ContainedQueue FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ContainedQueueBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_QUEUE = 4,
+    VT_SERVICE = 6
+  };
+  const flatbuffers::String *queue() const {
+    return GetPointer<const flatbuffers::String *>(VT_QUEUE);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_QUEUE) &&
+           verifier.VerifyString(queue()) &&
+           VerifyOffsetRequired(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ContainedQueueBuilder {
+  typedef ContainedQueue Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_queue(flatbuffers::Offset<flatbuffers::String> queue) {
+    fbb_.AddOffset(ContainedQueue::VT_QUEUE, queue);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(ContainedQueue::VT_SERVICE, service);
+  }
+  explicit ContainedQueueBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ContainedQueue> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ContainedQueue>(end);
+    fbb_.Required(o, ContainedQueue::VT_QUEUE);
+    fbb_.Required(o, ContainedQueue::VT_SERVICE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ContainedQueue> CreateContainedQueue(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> queue = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0) {
+  ContainedQueueBuilder builder_(_fbb);
+  builder_.add_service(service);
+  builder_.add_queue(queue);
+  return builder_.Finish();
+}
+
+struct ContainedQueue::Traits {
+  using type = ContainedQueue;
+  static auto constexpr Create = CreateContainedQueue;
+};
+
+inline flatbuffers::Offset<ContainedQueue> CreateContainedQueueDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *queue = nullptr,
+    const char *service = nullptr) {
+  auto queue__ = queue ? _fbb.CreateString(queue) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return gpWire::CreateContainedQueue(
+      _fbb,
+      queue__,
+      service__);
+}
+
 struct TargetCrash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef TargetCrashBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TARGET = 4,
     VT_NUMBER = 6,
-    VT_RUNS = 8
+    VT_RUNS = 8,
+    VT_QUEUES = 10
   };
   const flatbuffers::String *target() const {
     return GetPointer<const flatbuffers::String *>(VT_TARGET);
@@ -3794,6 +3983,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<gpWire::LostRun>> *runs() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::LostRun>> *>(VT_RUNS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<gpWire::QueueActivity>> *queues() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::QueueActivity>> *>(VT_QUEUES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_TARGET) &&
@@ -3802,6 +3994,9 @@
            VerifyOffsetRequired(verifier, VT_RUNS) &&
            verifier.VerifyVector(runs()) &&
            verifier.VerifyVectorOfTables(runs()) &&
+           VerifyOffsetRequired(verifier, VT_QUEUES) &&
+           verifier.VerifyVector(queues()) &&
+           verifier.VerifyVectorOfTables(queues()) &&
            verifier.EndTable();
   }
 };
@@ -3819,6 +4014,9 @@
   void add_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::LostRun>>> runs) {
     fbb_.AddOffset(TargetCrash::VT_RUNS, runs);
   }
+  void add_queues(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::QueueActivity>>> queues) {
+    fbb_.AddOffset(TargetCrash::VT_QUEUES, queues);
+  }
   explicit TargetCrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3828,6 +4026,7 @@
     auto o = flatbuffers::Offset<TargetCrash>(end);
     fbb_.Required(o, TargetCrash::VT_TARGET);
     fbb_.Required(o, TargetCrash::VT_RUNS);
+    fbb_.Required(o, TargetCrash::VT_QUEUES);
     return o;
   }
 };
@@ -3836,9 +4035,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> target = 0,
     uint64_t number = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::LostRun>>> runs = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::LostRun>>> runs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::QueueActivity>>> queues = 0) {
   TargetCrashBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_queues(queues);
   builder_.add_runs(runs);
   builder_.add_target(target);
   return builder_.Finish();
@@ -3853,14 +4054,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *target = nullptr,
     uint64_t number = 0,
-    const std::vector<flatbuffers::Offset<gpWire::LostRun>> *runs = nullptr) {
+    const std::vector<flatbuffers::Offset<gpWire::LostRun>> *runs = nullptr,
+    const std::vector<flatbuffers::Offset<gpWire::QueueActivity>> *queues = nullptr) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto runs__ = runs ? _fbb.CreateVector<flatbuffers::Offset<gpWire::LostRun>>(*runs) : 0;
+  auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<gpWire::QueueActivity>>(*queues) : 0;
   return gpWire::CreateTargetCrash(
       _fbb,
       target__,
       number,
-      runs__);
+      runs__,
+      queues__);
 }
 
 struct TargetNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4162,7 +4366,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ENTRIES = 4,
-    VT_CRASHES = 6
+    VT_CRASHES = 6,
+    VT_CONTAINED = 8
   };
   const flatbuffers::Vector<flatbuffers::Offset<gpWire::KnownEntry>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::KnownEntry>> *>(VT_ENTRIES);
@@ -4170,6 +4375,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<gpWire::TargetCrash>> *crashes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::TargetCrash>> *>(VT_CRASHES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<gpWire::ContainedQueue>> *contained() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::ContainedQueue>> *>(VT_CONTAINED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ENTRIES) &&
@@ -4178,6 +4386,9 @@
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_CONTAINED) &&
+           verifier.VerifyVector(contained()) &&
+           verifier.VerifyVectorOfTables(contained()) &&
            verifier.EndTable();
   }
 };
@@ -4192,6 +4403,9 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::TargetCrash>>> crashes) {
     fbb_.AddOffset(EntryNews::VT_CRASHES, crashes);
   }
+  void add_contained(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::ContainedQueue>>> contained) {
+    fbb_.AddOffset(EntryNews::VT_CONTAINED, contained);
+  }
   explicit EntryNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4207,8 +4421,10 @@
 inline flatbuffers::Offset<EntryNews> CreateEntryNews(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::KnownEntry>>> entries = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::TargetCrash>>> crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::TargetCrash>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::ContainedQueue>>> contained = 0) {
   EntryNewsBuilder builder_(_fbb);
+  builder_.add_contained(contained);
   builder_.add_crashes(crashes);
   builder_.add_entries(entries);
   return builder_.Finish();
@@ -4222,13 +4438,16 @@
 inline flatbuffers::Offset<EntryNews> CreateEntryNewsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<gpWire::KnownEntry>> *entries = nullptr,
-    const std::vector<flatbuffers::Offset<gpWire::TargetCrash>> *crashes = nullptr) {
+    const std::vector<flatbuffers::Offset<gpWire::TargetCrash>> *crashes = nullptr,
+    const std::vector<flatbuffers::Offset<gpWire::ContainedQueue>> *contained = nullptr) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<gpWire::KnownEntry>>(*entries) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<gpWire::TargetCrash>>(*crashes) : 0;
+  auto contained__ = contained ? _fbb.CreateVector<flatbuffers::Offset<gpWire::ContainedQueue>>(*contained) : 0;
   return gpWire::CreateEntryNews(
       _fbb,
       entries__,
-      crashes__);
+      crashes__,
+      contained__);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -61,6 +61,7 @@
   targets_.resize(options_.guards_);
   sequences_.resize(options_.guards_);
   records_.resize(options_.guards_);
+  waitingPolls_.resize(options_.guards_);
   cutUntil_.resize(options_.guards_);
   for (std::size_t index = 0; index < options_.guards_; ++index) {
     StartTarget(index);
@@ -184,8 +185,9 @@
 {
   Process& process = guards_[aIndex];
   Begin(process, aIndex, gpRole::Guard);
+  process.peer_.name_ = "guard-" + std::to_string(aIndex);
   gpLeaseGuardOptions options;
-  options.name_ = "guard-" + std::to_string(aIndex);
+  options.name_ = process.peer_.name_;
   options.service_ = gpServiceName(kService);
   options.dataCentre_ = gpDataCentreName("a");
   options.links_ = options_.links_;
@@ -505,17 +507,23 @@
     // it crashes before.
     gpPollTarget again = aPoll;
     again.leaseEnd_.reset();
-    At(now_ + wait, [this, aGuard, again, answer, target] {
+    const std::uint64_t poll = ++lastPoll_;
+    waitingPolls_[aGuard][poll] = [this, aGuard, answer](gpPollReplied aSeen) {
+      AtProcess(guards_[aGuard],
+                now_ + DrawLatency(),
+                [answer, seen = std::move(aSeen)] { answer(seen); });
+    };
+    At(now_ + wait, [this, aGuard, again, poll] {
+      const auto waiting = waitingPolls_[aGuard].extract(poll);
+      if (waiting.empty()) {
+        return; // the target has crashed
+      }
       gpPollReplied late;
       late.reply_ = gpOrderReply::Silent;
-      if (targets_[aGuard].get() != target) {
-        late.reply_ = gpOrderReply::Broken;
-      } else if (!IsCut(aGuard)) {
-        late = target->Poll(again, now_);
+      if (!IsCut(aGuard)) {
+        late = targets_[aGuard]->Poll(again, now_);
       }
-      AtProcess(guards_[aGuard], now_ + DrawLatency(), [answer, late] {
-        answer(late);
-      });
+      waiting.mapped()(late);
     });
   });
 }
@@ -794,6 +802,11 @@
     return;
   }
   targets_[aGuard].reset();
+  for (const auto& [poll, answer] : std::exchange(waitingPolls_[aGuard], {})) {
+    gpPollReplied broken;
+    broken.reply_ = gpOrderReply::Broken;
+    answer(broken);
+  }
   At(now_ + aDowntime, [this, aGuard] { StartTarget(aGuard); });
 }
 
--- a/Tests/Lease/gpLeaseHistory.h
+++ b/Tests/Lease/gpLeaseHistory.h
@@ -161,6 +161,7 @@
   void BreakLink(bool aSilent);
   void Kill(Process& aProcess);
   void Freeze(Process& aProcess);
+  /// Crashes the target; the polls that wait there break.
   void CrashTarget(std::size_t aGuard, gpMillis aDowntime);
   /// A task has started at a target, which it may crash.
   void CarryDeadly(std::size_t aGuard, const std::string& aTask);
@@ -185,6 +186,10 @@
   std::vector<std::uint64_t> sequences_;
   /// The record of its target that each guard has in the store.
   std::vector<std::optional<gpTargetAnnouncement>> records_;
+  /// Answers the polls that wait at each target, in the order of sending.
+  std::vector<std::map<std::uint64_t, std::function<void(gpPollReplied)>>>
+    waitingPolls_;
+  std::uint64_t lastPoll_ = 0;
   /// Until when each target is unreachable.
   std::vector<gpTime> cutUntil_;
   std::map<std::uint64_t, Link> links_;
--- a/Tests/Lease/testCrashes.cxx
+++ b/Tests/Lease/testCrashes.cxx
@@ -6,10 +6,19 @@
 
 #include "gpCrashDetector.h"
 #include "gpCrashLedger.h"
+#include "gpQueueContainment.h"
 
 namespace {
 
 constexpr gpTime kStart{ gpMillis(1000) };
+/// Chance that a run of a queue is suspected of a crash by accident: for a
+/// queue whose tasks start a few times a second at a target, and for a busy
+/// one.
+constexpr std::uint32_t kSmallChance = 200;
+constexpr std::uint32_t kLargeChance = 900;
+const gpServiceName kService("pond-order");
+const gpQueueName kQueue("check");
+const gpQueueName kOtherQueue("hold");
 
 gpGuardRun
 MakeRun(const std::string& aTask, gpTime aOrderedAt)
@@ -32,12 +41,63 @@
   return suspected;
 }
 
+bool
+IsReportDue(const gpCrashDetector& aDetector, gpTime aNow)
+{
+  return aNow >= aDetector.GetReportTime();
+}
+
 gpTargetCrash
 MakeCrash(std::uint64_t aNumber, const std::string& aTask, bool aIsSuspected)
 {
-  return { "target", aNumber, { { { aTask, aNumber }, aIsSuspected } } };
+  return {
+    "target", aNumber, { { { aTask, aNumber }, kQueue, aIsSuspected } }, {}
+  };
 }
 
+/// Feeds crashes to a gpQueueContainment, one every aPause.
+class Crashes
+{
+public:
+  explicit Crashes(gpMillis aPause = gpMillis(300))
+    : pause_(aPause)
+  {
+  }
+
+  /// A crash at a target where tasks of both queues run. The runs of aSuspected
+  /// have started last.
+  void Add(const std::set<gpQueueName>& aSuspected, std::uint32_t aChance)
+  {
+    gpTargetCrash crash{ "target", ++number_, {}, {} };
+    for (const gpQueueName& queue : { kQueue, kOtherQueue }) {
+      const gpRunId run{ queue.value_ + ".0.0.0", number_ };
+      crash.runs_.push_back({ run, queue, aSuspected.contains(queue) });
+      crash.queues_.push_back({ queue, aChance });
+    }
+    now_ += pause_;
+    containment_.NoteCrash(crash, kService, now_);
+  }
+
+  /// Passes time in which targets for contained queues are up or not.
+  void Pass(gpMillis aTime, bool aHasTarget)
+  {
+    now_ += aTime;
+    containment_.Release([=](const gpServiceName&) { return aHasTarget; },
+                         now_);
+  }
+
+  bool IsContained(const gpQueueName& aQueue) const
+  {
+    return containment_.IsContained(aQueue);
+  }
+
+private:
+  gpMillis pause_;
+  gpTime now_ = kStart;
+  std::uint64_t number_ = 0;
+  gpQueueContainment containment_;
+};
+
 } // namespace
 
 // Guards against blaming a task that had long been running, or one that was
@@ -50,9 +110,10 @@
   runs.Add(MakeRun("young", kStart - gpMillis(10)));
   runs.Add(MakeRun("after", kStart + gpMillis(3)));
   detector.NoteReply(gpOrderReply::Accepted, kStart - gpMillis(10));
-  BOOST_TEST(!detector.NoteReply(gpOrderReply::Broken, kStart));
-  const gpTime refusedAt = kStart + gpMillis(20);
-  BOOST_REQUIRE(detector.NoteReply(gpOrderReply::NotSent, refusedAt));
+  detector.NoteReply(gpOrderReply::Broken, kStart);
+  BOOST_TEST(!IsReportDue(detector, kStart + gpMillis(20)));
+  detector.NoteReply(gpOrderReply::NotSent, kStart + gpMillis(20));
+  BOOST_REQUIRE(IsReportDue(detector, kStart + gpMillis(40)));
   BOOST_TEST((detector.GetCrashTime() == kStart));
   const auto lost = detector.TakeLostRuns(runs);
   BOOST_TEST(lost.size() == 3U);
@@ -63,16 +124,19 @@
 {
   gpCrashDetector detector;
   detector.NoteReply(gpOrderReply::Accepted, kStart);
-  BOOST_REQUIRE(detector.NoteReply(gpOrderReply::NotSent, kStart));
+  detector.NoteReply(gpOrderReply::NotSent, kStart);
+  BOOST_REQUIRE(IsReportDue(detector, kStart + gpMillis(20)));
   detector.TakeLostRuns(gpRunTable());
-  BOOST_TEST(!detector.NoteReply(gpOrderReply::NotSent, kStart));
+  detector.NoteReply(gpOrderReply::NotSent, kStart + gpMillis(20));
+  BOOST_TEST(!IsReportDue(detector, kStart + gpMillis(40)));
   BOOST_TEST(!detector.IsUnreported());
 }
 
 BOOST_AUTO_TEST_CASE(ATargetThatIsNotListeningYetHasNotCrashed)
 {
   gpCrashDetector detector;
-  BOOST_TEST(!detector.NoteReply(gpOrderReply::NotSent, kStart));
+  detector.NoteReply(gpOrderReply::NotSent, kStart);
+  BOOST_TEST(!IsReportDue(detector, kStart + gpMillis(20)));
 }
 
 BOOST_AUTO_TEST_CASE(ABrokenCallIsNoCrashIfTheTargetAnswersTheNext)
@@ -80,7 +144,9 @@
   gpCrashDetector detector;
   detector.NoteReply(gpOrderReply::Accepted, kStart);
   detector.NoteReply(gpOrderReply::Broken, kStart);
-  BOOST_TEST(!detector.NoteReply(gpOrderReply::Accepted, kStart));
+  detector.NoteReply(gpOrderReply::NotSent, kStart);
+  detector.NoteReply(gpOrderReply::Accepted, kStart);
+  BOOST_TEST(!IsReportDue(detector, kStart + gpMillis(20)));
 }
 
 // The machine of a target that fails breaks no connection. The crash is known
@@ -114,15 +180,17 @@
   BOOST_TEST(!ledger.IsGivenUp("job2"));
 }
 
-// The rule of the platform counts all crashes under a task.
-BOOST_AUTO_TEST_CASE(ATaskThatHadRunForLongIsGivenUpAfterItsThirdCrash)
+// The platform counts all crashes under a task, and allows two starts after the
+// third.
+BOOST_AUTO_TEST_CASE(ATaskThatHadRunForLongIsGivenUpAfterItsFourthCrash)
 {
   gpCrashLedger ledger;
-  ledger.Add(MakeCrash(1, "job.0.0.0", false), kStart);
-  ledger.Add(MakeCrash(2, "job.0.0.0", false), kStart);
+  for (const std::uint64_t number : { 1, 2, 3 }) {
+    ledger.Add(MakeCrash(number, "job.0.0.0", false), kStart);
+  }
   BOOST_TEST(!ledger.IsSuspected("job.0.0.0"));
   BOOST_TEST(!ledger.IsGivenUp("job"));
-  ledger.Add(MakeCrash(3, "job.0.0.0", false), kStart);
+  ledger.Add(MakeCrash(4, "job.0.0.0", false), kStart);
   BOOST_TEST(ledger.IsGivenUp("job"));
 }
 
@@ -142,3 +210,80 @@
   ledger.Add(MakeCrash(2, "other.0.0.0", true), later);
   BOOST_TEST(!ledger.IsSuspected("job.0.0.0"));
 }
+
+// Guards against one queue whose tasks take all targets down, although each of
+// these tasks is started only once.
+BOOST_AUTO_TEST_CASE(AQueueWhoseTasksCrashTargetsIsContained)
+{
+  Crashes crashes;
+  crashes.Add({ kQueue }, kSmallChance);
+  BOOST_TEST(!crashes.IsContained(kQueue));
+  crashes.Add({ kQueue }, kSmallChance);
+  crashes.Add({ kQueue }, kSmallChance);
+  BOOST_TEST(crashes.IsContained(kQueue));
+  BOOST_TEST(!crashes.IsContained(kOtherQueue));
+}
+
+BOOST_AUTO_TEST_CASE(CrashesWithoutSuspectedTasksContainNoQueue)
+{
+  Crashes crashes;
+  for (int crash = 0; crash < 20; ++crash) {
+    crashes.Add({}, kSmallChance);
+    crashes.Add({ crash % 2 == 0 ? kQueue : kOtherQueue }, kSmallChance);
+  }
+  BOOST_TEST(!crashes.IsContained(kQueue));
+  BOOST_TEST(!crashes.IsContained(kOtherQueue));
+}
+
+// Nearly every crash follows a start of a busy queue, whatever its cause.
+BOOST_AUTO_TEST_CASE(ABusyQueueIsNotContainedForCrashesWithOtherCauses)
+{
+  Crashes crashes;
+  for (int crash = 0; crash < 10; ++crash) {
+    crashes.Add({ kQueue, kOtherQueue }, kLargeChance);
+  }
+  BOOST_TEST(!crashes.IsContained(kQueue));
+}
+
+// Such as the targets of a rack that loses power.
+BOOST_AUTO_TEST_CASE(CrashesAtTheSameTimeCountOnce)
+{
+  Crashes crashes(gpMillis(1));
+  for (int crash = 0; crash < 5; ++crash) {
+    crashes.Add({ kQueue }, kSmallChance);
+  }
+  BOOST_TEST(!crashes.IsContained(kQueue));
+}
+
+// A contained queue goes on crashing targets, where tasks of others may run.
+BOOST_AUTO_TEST_CASE(CrashesOfAContainedQueueAreNotHeldAgainstOthers)
+{
+  Crashes crashes;
+  for (int crash = 0; crash < 3; ++crash) {
+    crashes.Add({ kQueue }, kSmallChance);
+  }
+  for (int crash = 0; crash < 10; ++crash) {
+    crashes.Add({ kQueue, kOtherQueue }, kSmallChance);
+  }
+  BOOST_TEST(!crashes.IsContained(kOtherQueue));
+}
+
+BOOST_AUTO_TEST_CASE(AContainedQueueIsReleasedWhenItsTasksRunWithoutCrashes)
+{
+  Crashes crashes;
+  for (int crash = 0; crash < 3; ++crash) {
+    crashes.Add({ kQueue }, kSmallChance);
+  }
+  // Its tasks can't start while no target is up.
+  crashes.Pass(gpMillis(10000), false);
+  BOOST_TEST(crashes.IsContained(kQueue));
+  crashes.Pass(gpMillis(3000), true);
+  crashes.Add({ kQueue }, kSmallChance);
+  crashes.Pass(gpMillis(3000), true);
+  BOOST_TEST(crashes.IsContained(kQueue));
+  crashes.Pass(gpMillis(3000), true);
+  BOOST_TEST(!crashes.IsContained(kQueue));
+  // The first crash afterwards shows that it still has deadly tasks.
+  crashes.Add({ kQueue }, kSmallChance);
+  BOOST_TEST(crashes.IsContained(kQueue));
+}
--- a/Tests/Lease/testLeaseEntry.cxx
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -125,7 +125,10 @@
   {
     gpTargetUpdate update = MakeUpdate();
     update.takesWork_ = false;
-    update.crashes_ = { { "target", aNumber, { { ordered_.back(), true } } } };
+    update.crashes_ = { { "target",
+                          aNumber,
+                          { { ordered_.back(), gpQueueName("hold"), true } },
+                          {} } };
     Feed(gpMessageReceived{ kLink, update });
     EndRun(gpRunEnd::Stopped);
     update.takesWork_ = true;
@@ -316,8 +319,11 @@
 {
   EntryWithGuard entry;
   gpEntryUpdate update;
-  update.crashes_ = { { "t-1", 1, { { { "deadly.0.0.0", 1 }, true } } },
-                      { "t-2", 2, { { { "deadly.0.0.0", 2 }, true } } } };
+  for (const std::uint64_t number : { 1, 2 }) {
+    const gpRunId run{ "deadly.0.0.0", number };
+    update.crashes_.push_back(
+      { "target", number, { { run, gpQueueName("hold"), true } }, {} });
+  }
   entry.Feed(gpMessageReceived{ gpLinkId(2), update });
   entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("deadly") });
   BOOST_REQUIRE(entry.answers_.contains(gpRequestId(1)));
--- a/Tests/Lease/testLeaseHistories.cxx
+++ b/Tests/Lease/testLeaseHistories.cxx
@@ -122,8 +122,7 @@
 
 // Guards against one queue whose tasks crash targets as fast as they return, so
 // that no queue is served.
-BOOST_AUTO_TEST_CASE(HistoriesWithDeadlyTasksServeTheOtherQueue,
-                     *boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(HistoriesWithDeadlyTasksServeTheOtherQueue)
 {
   constexpr double kLeastShare = 0.9;
   gpLeaseHistoryOptions options = MakeDeadlyOptions();
--- a/Tests/Lease/testLeaseParts.cxx
+++ b/Tests/Lease/testLeaseParts.cxx
@@ -28,7 +28,11 @@
   void Add(std::uint64_t aGuard, double aSlowness, std::uint64_t aFree)
   {
     const gpIncarnation guard(aGuard);
-    targetTable_.OnLinked(guard, gpLinkId(aGuard));
+    gpPeer peer;
+    peer.role_ = gpRole::Guard;
+    peer.name_ = "guard-" + std::to_string(aGuard);
+    peer.incarnation_ = guard;
+    targetTable_.OnLinked(peer, gpLinkId(aGuard));
     gpTargetUpdate update;
     update.service_ = kService;
     update.dataCentre_ = gpDataCentreName("dc-1");
@@ -126,11 +130,13 @@
 {
   LinkedTargets linked;
   linked.Add(1, 1.0, 64000);
-  const double alone = linked.targetTable_.GetShare(kService);
+  const double alone =
+    linked.targetTable_.GetShare(kService, gpPlacementScope::AnyTarget);
   gpCapacityReport report;
   report.sharingEntries_ = 4;
   linked.targetTable_.OnCapacityReport(gpIncarnation(1), report, kNow);
-  BOOST_TEST(linked.targetTable_.GetShare(kService) == alone / 4);
+  BOOST_TEST(linked.targetTable_.GetShare(
+               kService, gpPlacementScope::AnyTarget) == alone / 4);
 }
 
 BOOST_AUTO_TEST_CASE(ShortTasksLeaveFastTargetsFree)
@@ -225,6 +231,39 @@
     linked.targetTable_.Choose(suspected, kNow + gpMillis(100)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(TargetsSetApartServeOnlyContainedQueues)
+{
+  LinkedTargets linked;
+  for (std::uint64_t guard = 1; guard <= 10; ++guard) {
+    linked.Add(guard, 1.0, 64000);
+  }
+  std::size_t setApart = 0;
+  for (const auto& [guard, view] : linked.targetTable_.GetAll()) {
+    gpPlacementNeed need = LinkedTargets::Need(gpMillis(50));
+    need.scope_ = gpPlacementScope::SetApart;
+    const bool isSetApart = linked.targetTable_.Accepts(guard, need, kNow);
+    setApart += isSetApart ? 1 : 0;
+    need.scope_ = gpPlacementScope::Others;
+    BOOST_TEST(linked.targetTable_.Accepts(guard, need, kNow) == !isSetApart);
+    need.scope_ = gpPlacementScope::AnyTarget;
+    BOOST_TEST(linked.targetTable_.Accepts(guard, need, kNow));
+  }
+  BOOST_TEST(setApart == 2U);
+}
+
+// A service with a single target can't set one apart.
+BOOST_AUTO_TEST_CASE(ASingleTargetServesAllQueues)
+{
+  LinkedTargets linked;
+  linked.Add(1, 1.0, 64000);
+  for (const auto scope :
+       { gpPlacementScope::SetApart, gpPlacementScope::Others }) {
+    gpPlacementNeed need = LinkedTargets::Need(gpMillis(50));
+    need.scope_ = scope;
+    BOOST_TEST(linked.targetTable_.Accepts(gpIncarnation(1), need, kNow));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(PredictionsLieBetweenEstimateAndQueueAverage)
 {
   gpRunTimeEstimator lengths;
--- a/Tests/Wire/gpSampleMessages.cxx
+++ b/Tests/Wire/gpSampleMessages.cxx
@@ -97,7 +97,11 @@
 {
   const gpRunId run{ "5c0e7a21d94b36f8.0.1.17", 1767773015591U };
   const gpResources needs{ 6200, 64, 1 };
-  return { gpRunOrder{ "spec", needs, gpMillis(60), { run, { "other", 2 } } },
+  return { gpRunOrder{ "spec",
+                       needs,
+                       gpMillis(60),
+                       { run, { "other", 2 } },
+                       gpQueueName("hold") },
            gpRunCancel{ { run } },
            gpRunReport{ run, gpRunEnd::Outdated, gpMicros(81234) },
            gpRunsHeld{ { run, run } },
@@ -106,12 +110,16 @@
                            { "a", "r1-3" },
                            needs,
                            true,
-                           { { "i-1", 7, { { run, true } } } } },
+                           { { "i-1",
+                               7,
+                               { { run, gpQueueName("hold"), true } },
+                               { { gpQueueName("hold"), 210 } } } } },
            gpCapacityReport{ needs, 42, 5, 1430 },
            gpEntryUpdate{
              { { gpAddress("10.0.0.1:7000"), gpDataCentreName("dc-1"), 250 },
                { gpAddress("10.0.0.2:7000"), {}, 0 } },
-             { { "i-2", 8, { { run, false }, { run, true } } } } } };
+             { { "i-2", 8, { { run, gpQueueName("hold"), false } }, {} } },
+             { { gpQueueName("hold"), gpServiceName("pond-order") } } } };
 }
 
 } // namespace
