Entry: Show a job as failed only after two certain crashes

Cause: a suspected crash counted like a certain one. A target whose connections are cut with a reset looks the same and has not crashed at all. Class of fault: an inference from silence is shown as a fact.

Now a crash is confirmed when the next incarnation of the target appears, and a run counts as started when the target has said so. A task with two suspected crashes is still not started again; but its job is shown as failed only if two crashes are confirmed under a confirmed start.

Evidence: AJobIsNotShownAsFailedWhileItsCrashesAreUncertain and AJobIsGivenUpOnlyAfterTwoCertainCrashes fail with the count of suspected crashes alone.

--- a/Source/Lease/gpCrashDetector.cxx
+++ b/Source/Lease/gpCrashDetector.cxx
@@ -53,15 +53,21 @@
   return aRun.orderedAt_ <= crashedAt || !refusedAt_.has_value();
 }
 
+gpLostRun
+gpCrashDetector::Describe(const gpGuardRun& aRun) const
+{
+  return { aRun.id_, aRun.queue_, IsSuspected(aRun), aRun.started_ };
+}
+
 std::vector<gpLostRun>
 gpCrashDetector::TakeLostRuns(const gpRunTable& aRuns)
 {
   std::vector<gpLostRun> lost;
   for (const gpGuardRun& run : givenUp_) {
-    lost.push_back({ run.id_, run.queue_, IsSuspected(run) });
+    lost.push_back(Describe(run));
   }
   for (const auto& [id, run] : aRuns.GetAll()) {
-    lost.push_back({ id, run.queue_, IsSuspected(run) });
+    lost.push_back(Describe(run));
   }
   Restart();
   return lost;
--- a/Source/Lease/gpCrashDetector.h
+++ b/Source/Lease/gpCrashDetector.h
@@ -63,6 +63,7 @@
   static constexpr gpMillis kSettleTime{ 5 };
 
   bool IsSuspected(const gpGuardRun& aRun) const;
+  gpLostRun Describe(const gpGuardRun& aRun) const;
 
   /// The last answer of an incarnation whose crash was not reported.
   std::optional<gpTime> answeredAt_;
--- a/Source/Lease/gpCrashLedger.cxx
+++ b/Source/Lease/gpCrashLedger.cxx
@@ -13,6 +13,9 @@
 /// A task is given up after this many crashes, even if it had always run for
 /// long. The platform allows two more starts after the third crash.
 constexpr std::uint32_t kMostCrashes = 4;
+/// The platform allows a job to be shown as failed after two crashes under a
+/// task.
+constexpr std::uint32_t kLeastCertain = 2;
 /// How long a crash is remembered. Callers submit a job again within seconds.
 constexpr gpMillis kKeepTime{ 120000 };
 /// Limits the memory when many targets crash.
@@ -21,29 +24,39 @@
 } // namespace
 
 bool
+gpCrashLedger::Count::IsWithheld() const
+{
+  return suspected_ >= kMostSuspected || crashes_ >= kMostCrashes;
+}
+
+gpCrashNovelty
 gpCrashLedger::Add(const gpTargetCrash& aCrash, gpTime aNow)
 {
-  const bool isNew =
-    counted_.emplace(std::pair(aCrash.target_, aCrash.number_), aNow).second;
-  if (!isNew) {
-    return false;
-  }
   DropOld(aNow);
+  const auto [found, isNew] = crashes_.try_emplace(
+    std::pair(aCrash.target_, aCrash.number_), Crash{ aNow, false });
+  Crash& crash = found->second;
+  const bool isConfirmed = aCrash.confirmed_ && !crash.confirmed_;
+  if (!isNew && !isConfirmed) {
+    return gpCrashNovelty::Known;
+  }
+  crash.confirmed_ = aCrash.confirmed_;
   for (const gpLostRun& run : aCrash.runs_) {
     Job& job = jobs_[gpJobOfTask(run.run_.task_)];
     job.crashedAt_ = aNow;
     Count& count = job.tasks_[run.run_.task_];
-    ++count.crashes_;
-    count.suspected_ += run.suspected_ ? 1 : 0;
+    count.crashes_ += isNew ? 1 : 0;
+    count.suspected_ += isNew && run.suspected_ ? 1 : 0;
+    count.certain_ += isConfirmed && run.started_ ? 1 : 0;
   }
-  return true;
+  return isNew ? gpCrashNovelty::New : gpCrashNovelty::Confirmed;
 }
 
 void
 gpCrashLedger::DropOld(gpTime aNow)
 {
-  std::erase_if(counted_, [aNow](const auto& aCrash) {
-    return aNow - aCrash.second > kKeepTime;
+  std::erase_if(crashes_, [aNow](const auto& aCrash) {
+    return aNow - aCrash.second.notedAt_ > kKeepTime;
   });
   std::erase_if(jobs_, [aNow](const auto& aJob) {
     return aNow - aJob.second.crashedAt_ > kKeepTime;
@@ -88,16 +101,26 @@
   return count != nullptr && count->suspected_ >= kMostSuspected;
 }
 
+bool
+gpCrashLedger::IsWithheld(const std::string& aJob) const
+{
+  const auto job = jobs_.find(aJob);
+  return job != jobs_.end() && std::any_of(job->second.tasks_.begin(),
+                                           job->second.tasks_.end(),
+                                           [](const auto& aTask) {
+                                             return aTask.second.IsWithheld();
+                                           });
+}
+
 bool
 gpCrashLedger::IsGivenUp(const std::string& aJob) const
 {
   const auto job = jobs_.find(aJob);
-  if (job == jobs_.end()) {
-    return false;
-  }
-  const auto& tasks = job->second.tasks_;
-  return std::any_of(tasks.begin(), tasks.end(), [](const auto& aTask) {
-    const Count& count = aTask.second;
-    return count.suspected_ >= kMostSuspected || count.crashes_ >= kMostCrashes;
-  });
+  return job != jobs_.end() &&
+         std::any_of(job->second.tasks_.begin(),
+                     job->second.tasks_.end(),
+                     [](const auto& aTask) {
+                       return aTask.second.IsWithheld() &&
+                              aTask.second.certain_ >= kLeastCertain;
+                     });
 }
--- a/Source/Lease/gpCrashLedger.h
+++ b/Source/Lease/gpCrashLedger.h
@@ -8,6 +8,14 @@
 #include "gpCrashMessages.h"
 #include "gpTime.h"
 
+/// What a message tells about a crash that was not known before.
+enum class gpCrashNovelty
+{
+  Known,
+  New,
+  Confirmed, ///< the crash was known, but not that it's certain
+};
+
 /** \class gpCrashLedger
  * \brief Counts the crashes of targets by the tasks that ran there.
  *
@@ -24,8 +32,8 @@
 class gpCrashLedger
 {
 public:
-  /// Counts a crash. Returns false if it's counted already.
-  bool Add(const gpTargetCrash& aCrash, gpTime aNow);
+  /// Counts a crash, and counts again when it's confirmed.
+  gpCrashNovelty Add(const gpTargetCrash& aCrash, gpTime aNow);
   /// Whether the task is suspected of a crash.
   bool IsSuspected(const std::string& aTask) const;
   /// Whether the task has been running for long when its target crashed, so
@@ -34,6 +42,9 @@
   /// Whether the task was suspected so often that it is the cause.
   bool IsDeadly(const std::string& aTask) const;
   /// Whether a task of the job must not be started any more.
+  bool IsWithheld(const std::string& aJob) const;
+  /// Whether, in addition, it's certain that two targets have crashed under it.
+  /// Only then may the job be shown as failed.
   bool IsGivenUp(const std::string& aJob) const;
 
 private:
@@ -41,6 +52,16 @@
   {
     std::uint32_t crashes_ = 0;
     std::uint32_t suspected_ = 0;
+    /// Confirmed crashes of targets that had confirmed the start of the task.
+    std::uint32_t certain_ = 0;
+
+    /// Whether the task must not be started any more.
+    bool IsWithheld() const;
+  };
+  struct Crash
+  {
+    gpTime notedAt_;
+    bool confirmed_ = false;
   };
   struct Job
   {
@@ -56,5 +77,5 @@
   /// By the ID of the job.
   std::map<std::string, Job> jobs_;
   /// The counted crashes, by target and number.
-  std::map<std::pair<std::string, std::uint64_t>, gpTime> counted_;
+  std::map<std::pair<std::string, std::uint64_t>, Crash> crashes_;
 };
--- a/Source/Lease/gpLeaseAdmission.cxx
+++ b/Source/Lease/gpLeaseAdmission.cxx
@@ -76,6 +76,24 @@
   return std::nullopt;
 }
 
+std::optional<gpLeaseAnswer>
+gpLeaseAdmission::FindCrashRefusal(const gpLeaseJob& aJob,
+                                   const gpCrashLedger& aCrashes)
+{
+  if (!aCrashes.IsWithheld(aJob.id_)) {
+    return std::nullopt;
+  }
+  if (aCrashes.IsGivenUp(aJob.id_)) {
+    return gpLeaseAnswer{ gpLeaseOutcome::Failed,
+                          gpLeaseReason::TaskCrashes,
+                          std::nullopt };
+  }
+  // The crashes are certain when the targets are back, within some seconds.
+  return gpLeaseAnswer{ gpLeaseOutcome::NotRun,
+                        gpLeaseReason::TaskSuspected,
+                        kContainedRetry };
+}
+
 gpLeaseRecord
 gpLeaseAdmission::MakeRecord(const gpLeaseJobSubmitted& aEvent,
                              const gpQueue& aQueue,
--- a/Source/Lease/gpLeaseAdmission.h
+++ b/Source/Lease/gpLeaseAdmission.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <optional>
 
+#include "gpCrashLedger.h"
 #include "gpLeaseEvent.h"
 #include "gpLeaseJobTable.h"
 #include "gpQueueContainment.h"
@@ -34,6 +35,11 @@
   std::optional<gpLeaseAnswer> FindRefusal(const gpLeaseJob& aJob,
                                            const gpQueue* aQueue,
                                            bool aIsConfigured) const;
+  /// The answer to a job with a task that must not be started any more, as it
+  /// has crashed targets; not set if it has none.
+  static std::optional<gpLeaseAnswer> FindCrashRefusal(
+    const gpLeaseJob& aJob,
+    const gpCrashLedger& aCrashes);
   /// The record of an accepted job, with its deadlines and the predicted run
   /// times of its tasks.
   gpLeaseRecord MakeRecord(const gpLeaseJobSubmitted& aEvent,
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -129,11 +129,10 @@
     WriteJob(gpEventKind::JobAttached, *earlier, "submitted again");
     return;
   }
-  if (crashLedger_.IsGivenUp(aEvent.job_.id_)) {
-    Refuse(
-      aEvent,
-      queue,
-      { gpLeaseOutcome::Failed, gpLeaseReason::TaskCrashes, std::nullopt });
+  const auto crashRefusal =
+    gpLeaseAdmission::FindCrashRefusal(aEvent.job_, crashLedger_);
+  if (crashRefusal.has_value()) {
+    Refuse(aEvent, queue, *crashRefusal);
     return;
   }
   // While the event loop lags, the job has already waited that long before it
@@ -388,20 +387,27 @@
 bool
 gpLeaseEntryReducer::LearnCrash(const gpTargetCrash& aCrash)
 {
-  if (!crashLedger_.Add(aCrash, now_)) {
+  const gpCrashNovelty novelty = crashLedger_.Add(aCrash, now_);
+  if (novelty == gpCrashNovelty::Known) {
     return false;
   }
   recentCrashes_.DropOld(now_);
-  recentCrashes_.Add(aCrash, now_);
+  if (novelty == gpCrashNovelty::New) {
+    recentCrashes_.Add(aCrash, now_);
+  } else {
+    recentCrashes_.Confirm(aCrash.target_, aCrash.number_);
+  }
   peers_.Forward(aCrash);
   for (const gpLostRun& run : aCrash.runs_) {
     const std::string id = gpJobOfTask(run.run_.task_);
     gpLeaseRecord* job = jobs_.FindById(id);
-    if (job != nullptr && crashLedger_.IsGivenUp(id)) {
-      FailJob(*job, gpLeaseReason::TaskCrashes);
+    if (job != nullptr && crashLedger_.IsWithheld(id)) {
+      FailJob(*job,
+              crashLedger_.IsGivenUp(id) ? gpLeaseReason::TaskCrashes
+                                         : gpLeaseReason::TaskSuspected);
     }
   }
-  return true;
+  return novelty == gpCrashNovelty::New;
 }
 
 void
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -99,7 +99,7 @@
   void EndJob(gpLeaseRecord& aJob, const gpLeaseAnswer& aAnswer);
   void FailJob(gpLeaseRecord& aJob, gpLeaseReason aReason);
   /// Counts a crash of a target, tells the other entries of it, and fails the
-  /// jobs that have to be given up. Returns false if the crash is known.
+  /// jobs that have to be given up. Returns whether the crash is new.
   bool LearnCrash(const gpTargetCrash& aCrash);
   /// Contains queues whose tasks crash targets of the service.
   void ContainQueues(const gpTargetCrash& aCrash,
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -42,9 +42,7 @@
   now_ = aEvent.now_;
   CheckPause();
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
-  if (now_ >= crashDetector_.GetReportTime()) {
-    ReportCrash(GetCrashableId());
-  }
+  CheckCrash();
   stopper_.Repeat(pollSchedule_.GetPause(), now_, out_);
   Poll();
   links_.Update(runs_, now_, out_);
@@ -301,7 +299,7 @@
   pollSchedule_.NoteHeartbeat(now_);
   runs_.SetCapacity(aTarget.capacity_);
   if (isOther) {
-    ReportCrash(earlier);
+    NoteRestart(earlier);
     OnNewIncarnation(isSameId);
     WriteTarget(gpEventKind::TargetAnnounced, aTarget.id_);
   }
@@ -352,6 +350,7 @@
   const gpRunId id = aRun.id_;
   switch (aReply) {
     case gpOrderReply::Accepted:
+      aRun.started_ = true;
       if (aRun.phase_ == gpRunPhase::Starting) {
         aRun.phase_ = gpRunPhase::Running;
         aRun.visibleSince_ = now_;
@@ -400,14 +399,38 @@
 }
 
 void
-gpLeaseGuardReducer::ReportCrash(const std::optional<std::string>& aTarget)
+gpLeaseGuardReducer::CheckCrash()
 {
-  if (!aTarget.has_value() || !crashDetector_.IsUnreported()) {
-    crashDetector_.Restart();
+  if (now_ < crashDetector_.GetReportTime()) {
     return;
   }
+  if (const auto target = GetCrashableId()) {
+    ReportCrash(*target, false);
+  } else {
+    crashDetector_.Restart();
+  }
+}
+
+void
+gpLeaseGuardReducer::NoteRestart(const std::optional<std::string>& aEarlier)
+{
+  if (aEarlier.has_value() && crashDetector_.IsUnreported()) {
+    ReportCrash(*aEarlier, true);
+  } else if (aEarlier.has_value()) {
+    // The target has not answered since the crash was reported.
+    crashes_.Confirm(*aEarlier, lastCrash_);
+  }
+  crashDetector_.Restart();
+}
+
+void
+gpLeaseGuardReducer::ReportCrash(const std::string& aTarget, bool aConfirmed)
+{
   const gpMicros ago = now_ - crashDetector_.GetCrashTime();
-  gpTargetCrash crash{ *aTarget, ++lastCrash_, {}, {} };
+  gpTargetCrash crash;
+  crash.target_ = aTarget;
+  crash.number_ = ++lastCrash_;
+  crash.confirmed_ = aConfirmed;
   crash.queues_ = crashDetector_.ListQueues();
   crash.runs_ = crashDetector_.TakeLostRuns(runs_);
   WriteTarget(gpEventKind::TargetCrashed, gpCrashText(crash, ago));
@@ -416,7 +439,7 @@
       WriteRun(gpEventKind::TaskSuspected, run.run_, crash.target_);
     }
   }
-  crashes_.Add(crash, now_);
+  crashes_.Add(std::move(crash), now_);
 }
 
 void
@@ -425,7 +448,7 @@
   target_.NoteClock(aEvent.clock_, now_);
   const auto earlier = GetCrashableId();
   if (target_.NoteStartTime(aEvent.startTime_)) {
-    ReportCrash(earlier);
+    NoteRestart(earlier);
     WriteTarget(gpEventKind::TargetLeaving, "another incarnation answered");
     OnNewIncarnation(true);
   }
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -99,9 +99,15 @@
   void FinishEnded(gpTime aSentAt, const std::vector<gpRunId>& aRunning);
   /// ID of the known target, if it isn't leaving: its end would be a crash.
   std::optional<std::string> GetCrashableId() const;
-  /// Reports that the target has crashed, unless its end was announced (then
-  /// aTarget isn't set) or is already reported.
-  void ReportCrash(const std::optional<std::string>& aTarget);
+  /// Reports a crash of the target, if its calls show one.
+  void CheckCrash();
+  /// Another incarnation than aEarlier was detected. Reports that the earlier
+  /// one has crashed, or that this is certain now. aEarlier isn't set if its
+  /// end was announced or is known.
+  void NoteRestart(const std::optional<std::string>& aEarlier);
+  /// Reports that the target has crashed. aConfirmed tells whether that's
+  /// certain.
+  void ReportCrash(const std::string& aTarget, bool aConfirmed);
   /// Another incarnation of the target was detected. Under another ID it can't
   /// have accepted orders of this guard, so all runs have ended. Under the same
   /// ID, orders sent last may have reached it, so all runs are stopped.
--- a/Source/Lease/gpLeaseJob.cxx
+++ b/Source/Lease/gpLeaseJob.cxx
@@ -10,9 +10,19 @@
                                    "not_run",
                                    "no_queue" };
 constexpr std::array kReasons = {
-  "none",        "no_configuration", "no_target",     "too_large",
-  "overloaded",  "queue_contained",  "shutting_down", "duplicate",
-  "task_failed", "task_crashes",     "target_lost",   "deadline_exceeded",
+  "none",
+  "no_configuration",
+  "no_target",
+  "too_large",
+  "overloaded",
+  "queue_contained",
+  "shutting_down",
+  "duplicate",
+  "task_failed",
+  "task_crashes",
+  "task_suspected",
+  "target_lost",
+  "deadline_exceeded",
   "caller_gone",
 };
 
--- a/Source/Lease/gpLeaseJob.h
+++ b/Source/Lease/gpLeaseJob.h
@@ -66,7 +66,8 @@
   ShuttingDown,    ///< the entry accepts no new jobs
   Duplicate,       ///< answer to a request whose job was submitted again
   TaskFailed,      ///< a task used up the queue's maximum of attempts
-  TaskCrashes,     ///< a task has probably crashed its targets
+  TaskCrashes,     ///< a task has crashed its targets
+  TaskSuspected,   ///< a task has probably crashed its targets
   TargetLost,      ///< the link to the guard of a running task was lost
   DeadlineExceeded,
   CallerGone,
--- a/Source/Lease/gpRecentCrashes.cxx
+++ b/Source/Lease/gpRecentCrashes.cxx
@@ -9,6 +9,16 @@
   }
 }
 
+void
+gpRecentCrashes::Confirm(const std::string& aTarget, std::uint64_t aNumber)
+{
+  for (auto& [notedAt, crash] : crashes_) {
+    if (crash.target_ == aTarget && crash.number_ == aNumber) {
+      crash.confirmed_ = true;
+    }
+  }
+}
+
 void
 gpRecentCrashes::DropOld(gpTime aNow)
 {
--- a/Source/Lease/gpRecentCrashes.h
+++ b/Source/Lease/gpRecentCrashes.h
@@ -19,6 +19,8 @@
   }
 
   void Add(gpTargetCrash aCrash, gpTime aNow);
+  /// Marks a crash of the target as certain, unless it's too old.
+  void Confirm(const std::string& aTarget, std::uint64_t aNumber);
   /// Drops the crashes that are too old.
   void DropOld(gpTime aNow);
   std::vector<gpTargetCrash> List() const;
--- a/Source/Lease/gpRunTable.h
+++ b/Source/Lease/gpRunTable.h
@@ -32,6 +32,8 @@
   /// Expected run time on a target of average speed.
   gpMillis estimate_{ 0 };
   gpRunPhase phase_ = gpRunPhase::Starting;
+  /// Whether the target has confirmed the start.
+  bool started_ = false;
   gpTime orderedAt_;
   /// A poll that is sent at this time or later lists the run unless it has
   /// ended. Not set while the run may still start.
--- a/Source/Model/gpCrashMessages.h
+++ b/Source/Model/gpCrashMessages.h
@@ -20,6 +20,8 @@
   gpQueueName queue_;
   /// Whether it started so shortly before the crash that it may be the cause.
   bool suspected_ = false;
+  /// Whether the target has confirmed that it started.
+  bool started_ = false;
 
   bool operator==(const gpLostRun&) const = default;
 };
@@ -59,6 +61,9 @@
   std::string target_;
   /// Tells the crashes of a target apart; increases with each.
   std::uint64_t number_ = 0;
+  /// Whether it's certain that the target has crashed, as its next incarnation
+  /// has appeared.
+  bool confirmed_ = false;
   std::vector<gpLostRun> runs_;
   /// The queues whose tasks have started at the target lately. Empty if the
   /// time of the crash isn't known.
--- a/Source/Wire/gpWireRuns.cxx
+++ b/Source/Wire/gpWireRuns.cxx
@@ -88,13 +88,15 @@
 {
   const auto run = gpWriteWire(aBuilder, aIn.run_);
   const auto queue = aBuilder.CreateString(aIn.queue_.value_);
-  return gpWire::CreateLostRun(aBuilder, run, queue, aIn.suspected_);
+  return gpWire::CreateLostRun(
+    aBuilder, run, queue, aIn.suspected_, aIn.started_);
 }
 
 bool
 gpReadWire(gpWireReader& aReader, const gpWire::LostRun* aIn, gpLostRun& aOut)
 {
   aOut.suspected_ = aIn->suspected();
+  aOut.started_ = aIn->started();
   return gpReadWire(aReader, aIn->run(), aOut.run_) &&
          aReader.Read(aIn->queue(), aOut.queue_);
 }
@@ -138,7 +140,8 @@
   const auto target = aBuilder.CreateString(aIn.target_);
   const auto runs = gpWriteTables(aBuilder, aIn.runs_);
   const auto queues = gpWriteTables(aBuilder, aIn.queues_);
-  return gpWire::CreateTargetCrash(aBuilder, target, aIn.number_, runs, queues);
+  return gpWire::CreateTargetCrash(
+    aBuilder, target, aIn.number_, aIn.confirmed_, runs, queues);
 }
 
 bool
@@ -147,6 +150,7 @@
            gpTargetCrash& aOut)
 {
   aOut.number_ = aIn->number();
+  aOut.confirmed_ = aIn->confirmed();
   return aReader.Read(aIn->target(), aOut.target_) &&
          aReader.ReadTables(aIn->runs(), aOut.runs_) &&
          aReader.ReadTables(aIn->queues(), aOut.queues_);
--- a/Source/Wire/gpWire_generated.h
+++ b/Source/Wire/gpWire_generated.h
@@ -3744,7 +3744,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_RUN = 4,
     VT_QUEUE = 6,
-    VT_SUSPECTED = 8
+    VT_SUSPECTED = 8,
+    VT_STARTED = 10
   };
   const gpWire::RunId *run() const {
     return GetPointer<const gpWire::RunId *>(VT_RUN);
@@ -3755,6 +3756,9 @@
   bool suspected() const {
     return GetField<uint8_t>(VT_SUSPECTED, 0) != 0;
   }
+  bool started() const {
+    return GetField<uint8_t>(VT_STARTED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_RUN) &&
@@ -3762,6 +3766,7 @@
            VerifyOffsetRequired(verifier, VT_QUEUE) &&
            verifier.VerifyString(queue()) &&
            VerifyField<uint8_t>(verifier, VT_SUSPECTED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_STARTED, 1) &&
            verifier.EndTable();
   }
 };
@@ -3779,6 +3784,9 @@
   void add_suspected(bool suspected) {
     fbb_.AddElement<uint8_t>(LostRun::VT_SUSPECTED, static_cast<uint8_t>(suspected), 0);
   }
+  void add_started(bool started) {
+    fbb_.AddElement<uint8_t>(LostRun::VT_STARTED, static_cast<uint8_t>(started), 0);
+  }
   explicit LostRunBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3796,10 +3804,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<gpWire::RunId> run = 0,
     flatbuffers::Offset<flatbuffers::String> queue = 0,
-    bool suspected = false) {
+    bool suspected = false,
+    bool started = false) {
   LostRunBuilder builder_(_fbb);
   builder_.add_queue(queue);
   builder_.add_run(run);
+  builder_.add_started(started);
   builder_.add_suspected(suspected);
   return builder_.Finish();
 }
@@ -3813,13 +3823,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<gpWire::RunId> run = 0,
     const char *queue = nullptr,
-    bool suspected = false) {
+    bool suspected = false,
+    bool started = false) {
   auto queue__ = queue ? _fbb.CreateString(queue) : 0;
   return gpWire::CreateLostRun(
       _fbb,
       run,
       queue__,
-      suspected);
+      suspected,
+      started);
 }
 
 struct QueueActivity FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3971,8 +3983,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TARGET = 4,
     VT_NUMBER = 6,
-    VT_RUNS = 8,
-    VT_QUEUES = 10
+    VT_CONFIRMED = 8,
+    VT_RUNS = 10,
+    VT_QUEUES = 12
   };
   const flatbuffers::String *target() const {
     return GetPointer<const flatbuffers::String *>(VT_TARGET);
@@ -3980,6 +3993,9 @@
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
   }
+  bool confirmed() const {
+    return GetField<uint8_t>(VT_CONFIRMED, 0) != 0;
+  }
   const flatbuffers::Vector<flatbuffers::Offset<gpWire::LostRun>> *runs() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::LostRun>> *>(VT_RUNS);
   }
@@ -3991,6 +4007,7 @@
            VerifyOffsetRequired(verifier, VT_TARGET) &&
            verifier.VerifyString(target()) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CONFIRMED, 1) &&
            VerifyOffsetRequired(verifier, VT_RUNS) &&
            verifier.VerifyVector(runs()) &&
            verifier.VerifyVectorOfTables(runs()) &&
@@ -4011,6 +4028,9 @@
   void add_number(uint64_t number) {
     fbb_.AddElement<uint64_t>(TargetCrash::VT_NUMBER, number, 0);
   }
+  void add_confirmed(bool confirmed) {
+    fbb_.AddElement<uint8_t>(TargetCrash::VT_CONFIRMED, static_cast<uint8_t>(confirmed), 0);
+  }
   void add_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::LostRun>>> runs) {
     fbb_.AddOffset(TargetCrash::VT_RUNS, runs);
   }
@@ -4035,6 +4055,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> target = 0,
     uint64_t number = 0,
+    bool confirmed = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::LostRun>>> runs = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::QueueActivity>>> queues = 0) {
   TargetCrashBuilder builder_(_fbb);
@@ -4042,6 +4063,7 @@
   builder_.add_queues(queues);
   builder_.add_runs(runs);
   builder_.add_target(target);
+  builder_.add_confirmed(confirmed);
   return builder_.Finish();
 }
 
@@ -4054,6 +4076,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *target = nullptr,
     uint64_t number = 0,
+    bool confirmed = false,
     const std::vector<flatbuffers::Offset<gpWire::LostRun>> *runs = nullptr,
     const std::vector<flatbuffers::Offset<gpWire::QueueActivity>> *queues = nullptr) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
@@ -4063,6 +4086,7 @@
       _fbb,
       target__,
       number,
+      confirmed,
       runs__,
       queues__);
 }
--- a/Tests/Lease/testCrashes.cxx
+++ b/Tests/Lease/testCrashes.cxx
@@ -47,12 +47,15 @@
   return aNow >= aDetector.GetReportTime();
 }
 
+/// A crash that is certain, under a task that had certainly started.
 gpTargetCrash
 MakeCrash(std::uint64_t aNumber, const std::string& aTask, bool aIsSuspected)
 {
-  return {
-    "target", aNumber, { { { aTask, aNumber }, kQueue, aIsSuspected } }, {}
-  };
+  return { "target",
+           aNumber,
+           true,
+           { { { aTask, aNumber }, kQueue, aIsSuspected, true } },
+           {} };
 }
 
 /// Feeds crashes to a gpQueueContainment, one every aPause.
@@ -68,10 +71,10 @@
   /// have started last.
   void Add(const std::set<gpQueueName>& aSuspected, std::uint32_t aChance)
   {
-    gpTargetCrash crash{ "target", ++number_, {}, {} };
+    gpTargetCrash crash{ "target", ++number_, true, {}, {} };
     for (const gpQueueName& queue : { kQueue, kOtherQueue }) {
       const gpRunId run{ queue.value_ + ".0.0.0", number_ };
-      crash.runs_.push_back({ run, queue, aSuspected.contains(queue) });
+      crash.runs_.push_back({ run, queue, aSuspected.contains(queue), true });
       crash.queues_.push_back({ queue, aChance });
     }
     now_ += pause_;
@@ -197,11 +200,34 @@
 BOOST_AUTO_TEST_CASE(ACrashOfWhichSeveralPeersTellCountsOnce)
 {
   gpCrashLedger ledger;
-  BOOST_TEST(ledger.Add(MakeCrash(1, "job.0.0.0", true), kStart));
-  BOOST_TEST(!ledger.Add(MakeCrash(1, "job.0.0.0", true), kStart));
+  const gpTargetCrash crash = MakeCrash(1, "job.0.0.0", true);
+  BOOST_TEST((ledger.Add(crash, kStart) == gpCrashNovelty::New));
+  BOOST_TEST((ledger.Add(crash, kStart) == gpCrashNovelty::Known));
   BOOST_TEST(!ledger.IsGivenUp("job"));
 }
 
+// Guards against a job that is shown as failed although no target has crashed
+// under it: the target was cut off, or its task had not started.
+BOOST_AUTO_TEST_CASE(AJobIsGivenUpOnlyAfterTwoCertainCrashes)
+{
+  gpCrashLedger ledger;
+  gpTargetCrash second = MakeCrash(2, "job.0.0.0", true);
+  second.confirmed_ = false;
+  ledger.Add(MakeCrash(1, "job.0.0.0", true), kStart);
+  ledger.Add(second, kStart);
+  BOOST_TEST(ledger.IsWithheld("job"));
+  BOOST_TEST(!ledger.IsGivenUp("job"));
+  second.confirmed_ = true;
+  BOOST_TEST((ledger.Add(second, kStart) == gpCrashNovelty::Confirmed));
+  BOOST_TEST(ledger.IsGivenUp("job"));
+  gpTargetCrash unstarted = MakeCrash(3, "other.0.0.0", true);
+  unstarted.runs_[0].started_ = false;
+  ledger.Add(unstarted, kStart);
+  ledger.Add(MakeCrash(4, "other.0.0.0", true), kStart);
+  BOOST_TEST(ledger.IsWithheld("other"));
+  BOOST_TEST(!ledger.IsGivenUp("other"));
+}
+
 BOOST_AUTO_TEST_CASE(CrashesAreForgottenAfterAWhile)
 {
   gpCrashLedger ledger;
--- a/Tests/Lease/testLeaseEntry.cxx
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -9,6 +9,7 @@
 namespace {
 
 const gpServiceName kService("pond-order");
+const gpQueueName kQueue("hold");
 const gpLinkId kLink(1);
 const gpIncarnation kGuard(7);
 constexpr gpMillis kShutdown{ 3000 };
@@ -20,7 +21,7 @@
 MakeQueues()
 {
   gpQueue queue;
-  queue.name_ = gpQueueName("hold");
+  queue.name_ = kQueue;
   queue.host_ = "ponds";
   queue.prefix_ = "/hold/";
   queue.service_ = kService;
@@ -120,14 +121,16 @@
       kLink, gpRunReport{ ordered_.back(), aEnd, gpMillis(5) } });
   }
 
-  /// The guard reports that its target has crashed under the run ordered last.
-  void CrashTarget(std::uint64_t aNumber)
+  /// The guard reports that its target has crashed under the run ordered last,
+  /// and that it's certain if aConfirmed is set.
+  void CrashTarget(std::uint64_t aNumber, bool aConfirmed)
   {
     gpTargetUpdate update = MakeUpdate();
     update.takesWork_ = false;
     update.crashes_ = { { "target",
                           aNumber,
-                          { { ordered_.back(), gpQueueName("hold"), true } },
+                          aConfirmed,
+                          { { ordered_.back(), kQueue, true, true } },
                           {} } };
     Feed(gpMessageReceived{ kLink, update });
     EndRun(gpRunEnd::Stopped);
@@ -299,11 +302,11 @@
 {
   EntryWithGuard entry;
   entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("deadly") });
-  entry.CrashTarget(1);
+  entry.CrashTarget(1, true);
   BOOST_TEST(!entry.answers_.contains(gpRequestId(1)));
   entry.Pass(gpMillis(100));
   BOOST_REQUIRE(entry.ordered_.size() == 2U);
-  entry.CrashTarget(2);
+  entry.CrashTarget(2, true);
   BOOST_REQUIRE(entry.answers_.contains(gpRequestId(1)));
   const gpLeaseAnswer& answer = entry.answers_.at(gpRequestId(1));
   BOOST_TEST((answer.outcome_ == gpLeaseOutcome::Failed));
@@ -322,7 +325,7 @@
   for (const std::uint64_t number : { 1, 2 }) {
     const gpRunId run{ "deadly.0.0.0", number };
     update.crashes_.push_back(
-      { "target", number, { { run, gpQueueName("hold"), true } }, {} });
+      { "target", number, true, { { run, kQueue, true, true } }, {} });
   }
   entry.Feed(gpMessageReceived{ gpLinkId(2), update });
   entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("deadly") });
@@ -331,3 +334,23 @@
     (entry.answers_.at(gpRequestId(1)).reason_ == gpLeaseReason::TaskCrashes));
   BOOST_TEST(entry.ordered_.empty());
 }
+
+// Guards against a job that is shown as failed after a loss of its target that
+// was no crash, such as a cut of its connections.
+BOOST_AUTO_TEST_CASE(AJobIsNotShownAsFailedWhileItsCrashesAreUncertain)
+{
+  EntryWithGuard entry;
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("deadly") });
+  entry.CrashTarget(1, false);
+  entry.Pass(gpMillis(100));
+  entry.CrashTarget(2, false);
+  BOOST_REQUIRE(entry.answers_.contains(gpRequestId(1)));
+  BOOST_TEST((entry.answers_.at(gpRequestId(1)).reason_ ==
+              gpLeaseReason::TaskSuspected));
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(2), MakeJob("deadly") });
+  BOOST_REQUIRE(entry.answers_.contains(gpRequestId(2)));
+  const gpLeaseAnswer& refusal = entry.answers_.at(gpRequestId(2));
+  BOOST_TEST((refusal.outcome_ == gpLeaseOutcome::NotRun));
+  BOOST_TEST(refusal.retryAfter_.has_value());
+  BOOST_TEST(entry.ordered_.size() == 2U);
+}
--- a/Tests/Wire/gpSampleMessages.cxx
+++ b/Tests/Wire/gpSampleMessages.cxx
@@ -112,13 +112,18 @@
                            true,
                            { { "i-1",
                                7,
-                               { { run, gpQueueName("hold"), true } },
+                               true,
+                               { { run, gpQueueName("hold"), true, true } },
                                { { gpQueueName("hold"), 210 } } } } },
            gpCapacityReport{ needs, 42, 5, 1430 },
            gpEntryUpdate{
              { { gpAddress("10.0.0.1:7000"), gpDataCentreName("dc-1"), 250 },
                { gpAddress("10.0.0.2:7000"), {}, 0 } },
-             { { "i-2", 8, { { run, gpQueueName("hold"), false } }, {} } },
+             { { "i-2",
+                 8,
+                 false,
+                 { { run, gpQueueName("hold"), false, false } },
+                 {} } },
              { { gpQueueName("hold"), gpServiceName("pond-order") } } } };
 }
 
