Guard: Fill a target only to a capacity that a heartbeat has told

Cause: a restarted guard takes the capacity from its record in the store, so that the target gets work before its next heartbeat. While the guard was away the capacity may have shrunk, so the rule's slack has passed. Class of fault: stored state is used as if it were current.

Now orders say whether the targets of the service refuse what doesn't fit, as the configuration tells, and the record keeps it. Such targets get work at once, as before. Others get none until a heartbeat has told the capacity to this process.

Ruled out: orders in flight, and runs that are being stopped; both count in the guard's table until their end is listed (AShrunkCapacityCountsTheRunsThatAreBeingStopped).

--- a/Source/Configuration/gpTargetRecord.cxx
+++ b/Source/Configuration/gpTargetRecord.cxx
@@ -10,31 +10,34 @@
 namespace json = boost::json;
 
 std::string
-gpRenderTargetRecord(const gpTargetAnnouncement& aTarget)
+gpRenderTargetRecord(const gpTargetRecord& aRecord)
 {
+  const gpTargetAnnouncement& target = aRecord.target_;
   json::array labels;
-  for (const std::string& label : aTarget.labels_) {
+  for (const std::string& label : target.labels_) {
     labels.emplace_back(label);
   }
   return json::serialize(
-    json::object{ { "id", aTarget.id_ },
-                  { "start_time", aTarget.startTime_ },
-                  { "sequence", aTarget.sequence_ },
-                  { "service", aTarget.service_.value_ },
-                  { "draining", aTarget.draining_ },
-                  { "milli_cores", aTarget.capacity_.milliCores_ },
-                  { "memory_mb", aTarget.capacity_.memoryMb_ },
-                  { "accelerators", aTarget.capacity_.accelerators_ },
-                  { "labels", std::move(labels) } });
+    json::object{ { "id", target.id_ },
+                  { "start_time", target.startTime_ },
+                  { "sequence", target.sequence_ },
+                  { "service", target.service_.value_ },
+                  { "draining", target.draining_ },
+                  { "milli_cores", target.capacity_.milliCores_ },
+                  { "memory_mb", target.capacity_.memoryMb_ },
+                  { "accelerators", target.capacity_.accelerators_ },
+                  { "labels", std::move(labels) },
+                  { "capacity_enforced", aRecord.capacityEnforced_ } });
 }
 
-absl::StatusOr<gpTargetAnnouncement>
+absl::StatusOr<gpTargetRecord>
 gpParseTargetRecord(std::string_view aText)
 {
   constexpr auto kRequired = gpPresence::Required;
   gpJsonDocument document = gpJsonDocument::Parse(aText);
   gpJsonErrors errors = std::move(document.errors_);
-  gpTargetAnnouncement target;
+  gpTargetRecord record;
+  gpTargetAnnouncement& target = record.target_;
   if (document.parsed_) {
     gpJsonObject root(document.root_, "", errors);
     root.Text("id", target.id_, kNonEmptyRule, kRequired);
@@ -48,9 +51,10 @@
     for (gpJsonText& label : root.Texts("labels", kNonEmptyRule)) {
       target.labels_.push_back(std::move(label.text_));
     }
+    root.Flag("capacity_enforced", record.capacityEnforced_);
   }
   if (!errors.empty()) {
     return gpMakeErrors(gpErrorCode::BadRecord, errors);
   }
-  return target;
+  return record;
 }
--- a/Source/Guard/gpLeaseGuardProcess.cxx
+++ b/Source/Guard/gpLeaseGuardProcess.cxx
@@ -79,16 +79,16 @@
     gpStoreTopic::Targets,
     settings_.name_,
     [this](const absl::StatusOr<gpStoreRecord>& aRecord) {
-      const auto target =
-        aRecord.ok() ? gpParseTargetRecord(aRecord->value_)
-                     : absl::StatusOr<gpTargetAnnouncement>(aRecord.status());
-      if (target.ok()) {
-        Reduce(gpTargetRecordRead{ *target });
+      const auto record = aRecord.ok()
+                            ? gpParseTargetRecord(aRecord->value_)
+                            : absl::StatusOr<gpTargetRecord>(aRecord.status());
+      if (record.ok()) {
+        Reduce(gpTargetRecordRead{ *record });
         return;
       }
       // The next heartbeat of the target tells the same.
-      if (gpErrorCodeOf(target.status()) != gpErrorCode::NotFound) {
-        WriteStoreFailure(target.status());
+      if (gpErrorCodeOf(record.status()) != gpErrorCode::NotFound) {
+        WriteStoreFailure(record.status());
       }
     });
 }
@@ -172,6 +172,6 @@
   } else if (const auto* poll = std::get_if<gpPollTarget>(&aEffect)) {
     targetPort_->Poll(*poll, reduce);
   } else if (const auto* record = std::get_if<gpStoreTargetRecord>(&aEffect)) {
-    targetRecord_.Write(gpRenderTargetRecord(record->target_));
+    targetRecord_.Write(gpRenderTargetRecord(record->record_));
   }
 }
--- a/Source/Lease/gpLeaseEvent.h
+++ b/Source/Lease/gpLeaseEvent.h
@@ -56,7 +56,7 @@
 /// has written. It may be out of date.
 struct gpTargetRecordRead
 {
-  gpTargetAnnouncement target_;
+  gpTargetRecord record_;
 };
 
 /// The target announced that it ends.
@@ -220,7 +220,7 @@
 /// Stores a record of the target for the next process of this guard.
 struct gpStoreTargetRecord
 {
-  gpTargetAnnouncement target_;
+  gpTargetRecord record_;
 };
 
 using gpLeaseEffect = std::variant<gpSend,
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -86,6 +86,7 @@
   return target_.IsKnown() && target_.IsConfirmed() &&
          pollSchedule_.HasAnswer() && !stopper_.HasUnknownRuns() &&
          !target_.IsLeaving() && !target_.IsSilent(now_) &&
+         (isCapacityCurrent_ || capacityEnforced_) &&
          shutdownEnd_ == gpTime::max();
 }
 
@@ -134,6 +135,10 @@
 void
 gpLeaseGuardReducer::OnMessage(gpLinkId aLink, const gpRunOrder& aMessage)
 {
+  capacityEnforced_ = aMessage.capacityEnforced_;
+  if (isCapacityCurrent_) {
+    UpdateRecord();
+  }
   for (const gpRunId& run : aMessage.runs_) {
     StartOne(aLink, aMessage, run);
   }
@@ -268,22 +273,22 @@
     return;
   }
   Announce(aEvent.target_);
-  if (IsRecordOutdated()) {
-    record_ = target_.Get();
-    out_.Add(gpStoreTargetRecord{ *record_ });
-  }
+  isCapacityCurrent_ = true;
+  UpdateRecord();
 }
 
 void
 gpLeaseGuardReducer::On(const gpTargetRecordRead& aEvent)
 {
-  if (target_.IsKnown() || aEvent.target_.service_ != options_.service_) {
+  const gpTargetAnnouncement& target = aEvent.record_.target_;
+  if (target_.IsKnown() || target.service_ != options_.service_) {
     return;
   }
   // No work is taken until the target has answered a poll. The poll names the
   // incarnation of the record, and any other refuses it.
-  record_ = aEvent.target_;
-  Announce(aEvent.target_);
+  record_ = aEvent.record_;
+  capacityEnforced_ = aEvent.record_.capacityEnforced_;
+  Announce(target);
 }
 
 void
@@ -308,17 +313,19 @@
   }
 }
 
-bool
-gpLeaseGuardReducer::IsRecordOutdated() const
+void
+gpLeaseGuardReducer::UpdateRecord()
 {
-  if (!record_.has_value()) {
-    return true;
+  gpTargetRecord present{ target_.Get(), capacityEnforced_ };
+  if (record_.has_value()) {
+    // The sequence number changes with each heartbeat, and an older one is as
+    // good to recognise the incarnation.
+    present.target_.sequence_ = record_->target_.sequence_;
+  }
+  if (present != record_) {
+    record_ = present;
+    out_.Add(gpStoreTargetRecord{ { target_.Get(), capacityEnforced_ } });
   }
-  // The sequence number changes with each heartbeat, and an older one is as
-  // good to recognise the incarnation.
-  gpTargetAnnouncement present = target_.Get();
-  present.sequence_ = record_->sequence_;
-  return present != *record_;
 }
 
 void
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -114,9 +114,9 @@
   void OnNewIncarnation(bool aIsSameId);
   /// Handles an announcement that is known to be current.
   void Announce(const gpTargetAnnouncement& aTarget);
-  /// Whether the record in the store is about another incarnation or another
-  /// state of the target.
-  bool IsRecordOutdated() const;
+  /// Stores what is known of the target, unless the record in the store says
+  /// the same.
+  void UpdateRecord();
   void Refuse(gpLinkId aLink, const gpRunId& aRun, gpRunEnd aReason);
   /// Polls the target if a poll is due, and renews its lease if it has runs.
   void Poll();
@@ -142,7 +142,12 @@
   gpCrashDetector crashDetector_;
   gpRecentCrashes crashes_;
   /// The announcement in the store, if this process knows it.
-  std::optional<gpTargetAnnouncement> record_;
+  std::optional<gpTargetRecord> record_;
+  /// Whether the target itself refuses what doesn't fit, by the last order.
+  bool capacityEnforced_ = false;
+  /// Whether a heartbeat has told this process the target's capacity. The one
+  /// in the store may have shrunk since.
+  bool isCapacityCurrent_ = false;
   std::uint64_t seenEnds_ = 0;
   /// Number of the last crash of the target, see gpTargetCrash.
   std::uint64_t lastCrash_;
--- a/Source/Lease/gpRunOrders.cxx
+++ b/Source/Lease/gpRunOrders.cxx
@@ -38,6 +38,7 @@
   const gpLeaseJob& job = aJob.job_;
   gpRunOrder& order = orders_[Key{ aLink, job.id_, aStep }];
   order.queue_ = aJob.queue_.name_;
+  order.capacityEnforced_ = aJob.queue_.targetsEnforceCapacity_;
   order.spec_ = job.spec_;
   order.needs_ = job.steps_[aStep].needs_;
   order.estimate_ = job.steps_[aStep].estimate_;
--- a/Source/Model/gpQueueTable.h
+++ b/Source/Model/gpQueueTable.h
@@ -22,6 +22,9 @@
   std::string prefix_;
   /// The service whose targets run the tasks.
   gpServiceName service_;
+  /// Whether the service's targets refuse a task that doesn't fit into their
+  /// free capacity. Others start whatever they are told to.
+  bool targetsEnforceCapacity_ = false;
   /// 0 is the highest priority.
   std::uint32_t priority_ = 0;
   /// The job fails when this many runs of one task have failed; at least 1.
--- a/Source/Model/gpRunMessages.h
+++ b/Source/Model/gpRunMessages.h
@@ -32,6 +32,8 @@
   std::vector<gpRunId> runs_;
   /// The queue of the tasks' job; empty from entries of an older version.
   gpQueueName queue_;
+  /// Whether the target itself refuses what doesn't fit.
+  bool capacityEnforced_ = false;
 
   bool operator==(const gpRunOrder&) const = default;
 };
--- a/Source/Model/gpTargetAnnouncement.h
+++ b/Source/Model/gpTargetAnnouncement.h
@@ -25,3 +25,17 @@
 
   bool operator==(const gpTargetAnnouncement&) const = default;
 };
+
+/** \class gpTargetRecord
+ * \brief What a guard stores about its target for its next process.
+ */
+struct gpTargetRecord
+{
+  /// The last announcement.
+  gpTargetAnnouncement target_;
+  /// Whether the target refuses what doesn't fit. If not, it's given no work
+  /// before its next heartbeat, as its capacity may have shrunk meanwhile.
+  bool capacityEnforced_ = false;
+
+  bool operator==(const gpTargetRecord&) const = default;
+};
--- a/Source/Wire/gpWireRuns.cxx
+++ b/Source/Wire/gpWireRuns.cxx
@@ -163,13 +163,19 @@
   const auto needs = WriteResources(aBuilder, aIn.needs_);
   const auto runs = gpWriteTables(aBuilder, aIn.runs_);
   const auto queue = aBuilder.CreateString(aIn.queue_.value_);
-  return gpWire::CreateRunOrder(
-    aBuilder, spec, needs, aIn.estimate_.count(), runs, queue);
+  return gpWire::CreateRunOrder(aBuilder,
+                                spec,
+                                needs,
+                                aIn.estimate_.count(),
+                                runs,
+                                queue,
+                                aIn.capacityEnforced_);
 }
 
 bool
 gpReadWire(gpWireReader& aReader, const gpWire::RunOrder* aIn, gpRunOrder& aOut)
 {
+  aOut.capacityEnforced_ = aIn->capacity_enforced();
   return aReader.Read(aIn->spec(), aOut.spec_) &&
          ReadResources(aReader, aIn->needs(), aOut.needs_) &&
          aReader.ReadDuration(aIn->estimate_ms(), aOut.estimate_) &&
--- a/Source/Wire/gpWire_generated.h
+++ b/Source/Wire/gpWire_generated.h
@@ -3445,7 +3445,8 @@
     VT_NEEDS = 6,
     VT_ESTIMATE_MS = 8,
     VT_RUNS = 10,
-    VT_QUEUE = 12
+    VT_QUEUE = 12,
+    VT_CAPACITY_ENFORCED = 14
   };
   const flatbuffers::String *spec() const {
     return GetPointer<const flatbuffers::String *>(VT_SPEC);
@@ -3462,6 +3463,9 @@
   const flatbuffers::String *queue() const {
     return GetPointer<const flatbuffers::String *>(VT_QUEUE);
   }
+  bool capacity_enforced() const {
+    return GetField<uint8_t>(VT_CAPACITY_ENFORCED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SPEC) &&
@@ -3474,6 +3478,7 @@
            verifier.VerifyVectorOfTables(runs()) &&
            VerifyOffset(verifier, VT_QUEUE) &&
            verifier.VerifyString(queue()) &&
+           VerifyField<uint8_t>(verifier, VT_CAPACITY_ENFORCED, 1) &&
            verifier.EndTable();
   }
 };
@@ -3497,6 +3502,9 @@
   void add_queue(flatbuffers::Offset<flatbuffers::String> queue) {
     fbb_.AddOffset(RunOrder::VT_QUEUE, queue);
   }
+  void add_capacity_enforced(bool capacity_enforced) {
+    fbb_.AddElement<uint8_t>(RunOrder::VT_CAPACITY_ENFORCED, static_cast<uint8_t>(capacity_enforced), 0);
+  }
   explicit RunOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3517,13 +3525,15 @@
     flatbuffers::Offset<gpWire::Resources> needs = 0,
     int64_t estimate_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::RunId>>> runs = 0,
-    flatbuffers::Offset<flatbuffers::String> queue = 0) {
+    flatbuffers::Offset<flatbuffers::String> queue = 0,
+    bool capacity_enforced = false) {
   RunOrderBuilder builder_(_fbb);
   builder_.add_estimate_ms(estimate_ms);
   builder_.add_queue(queue);
   builder_.add_runs(runs);
   builder_.add_needs(needs);
   builder_.add_spec(spec);
+  builder_.add_capacity_enforced(capacity_enforced);
   return builder_.Finish();
 }
 
@@ -3538,7 +3548,8 @@
     flatbuffers::Offset<gpWire::Resources> needs = 0,
     int64_t estimate_ms = 0,
     const std::vector<flatbuffers::Offset<gpWire::RunId>> *runs = nullptr,
-    const char *queue = nullptr) {
+    const char *queue = nullptr,
+    bool capacity_enforced = false) {
   auto spec__ = spec ? _fbb.CreateString(spec) : 0;
   auto runs__ = runs ? _fbb.CreateVector<flatbuffers::Offset<gpWire::RunId>>(*runs) : 0;
   auto queue__ = queue ? _fbb.CreateString(queue) : 0;
@@ -3548,7 +3559,8 @@
       needs,
       estimate_ms,
       runs__,
-      queue__);
+      queue__,
+      capacity_enforced);
 }
 
 struct RunCancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/Configuration/testTargetRecord.cxx
+++ b/Tests/Configuration/testTargetRecord.cxx
@@ -7,7 +7,8 @@
 
 BOOST_AUTO_TEST_CASE(ReadsWhatWasWritten)
 {
-  gpTargetAnnouncement target;
+  gpTargetRecord record;
+  gpTargetAnnouncement& target = record.target_;
   target.id_ = "t-\"1\"";
   target.startTime_ = 1766000000000;
   target.sequence_ = 4;
@@ -15,9 +16,19 @@
   target.draining_ = true;
   target.capacity_ = { 64000, 262144, 2 };
   target.labels_ = { "a", "r1-3" };
-  const auto read = gpParseTargetRecord(gpRenderTargetRecord(target));
+  record.capacityEnforced_ = true;
+  const auto read = gpParseTargetRecord(gpRenderTargetRecord(record));
   BOOST_REQUIRE(read.ok());
-  BOOST_TEST((*read == target));
+  BOOST_TEST((*read == record));
+}
+
+BOOST_AUTO_TEST_CASE(ReadsRecordsOfAnOlderVersion)
+{
+  const auto read = gpParseTargetRecord(
+    R"({"id":"t-1","start_time":1,"sequence":1,"service":"a",)"
+    R"("milli_cores":1})");
+  BOOST_REQUIRE(read.ok());
+  BOOST_TEST(!read->capacityEnforced_);
 }
 
 BOOST_AUTO_TEST_CASE(RejectsOtherRecords)
--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -17,6 +17,10 @@
 constexpr gpMillis kCallerTimeout{ 1500 };
 constexpr gpMillis kAnswerTimeout{ 60 };
 constexpr gpMillis kHeartbeat{ 500 };
+/// Time in which the change of a target's capacity becomes known: a heartbeat
+/// and its delivery. A guard that was not scheduled for longer than
+/// kLongestPause takes no orders from before.
+constexpr gpMillis kCapacitySlack = kHeartbeat + kLongestPause + gpMillis(10);
 /// Time until the store has answered a read.
 constexpr gpMillis kStoreLatency{ 4 };
 /// Upper bound of how long a run continues after its caller has left: covers
@@ -60,6 +64,7 @@
   guards_.resize(options_.guards_);
   targets_.resize(options_.guards_);
   sequences_.resize(options_.guards_);
+  capacities_.resize(options_.guards_, gpChangingCapacity(kTargetMilliCores));
   records_.resize(options_.guards_);
   waitingPolls_.resize(options_.guards_);
   cutUntil_.resize(options_.guards_);
@@ -67,6 +72,9 @@
     StartTarget(index);
     StartGuard(index);
     Heartbeat(index);
+    if (options_.capacityChanges_) {
+      ChangeCapacity(index);
+    }
   }
   for (std::size_t index = 0; index < options_.entries_; ++index) {
     StartEntry(index);
@@ -229,7 +237,7 @@
   target.startTime_ = targets_[aGuard]->GetStartTime();
   target.sequence_ = ++sequences_[aGuard];
   target.service_ = gpServiceName(kService);
-  target.capacity_ = { kTargetMilliCores, 1024, 0 };
+  target.capacity_ = { capacities_[aGuard].Get(), 1024, 0 };
   AtProcess(guards_[aGuard], now_ + DrawLatency(), [this, aGuard, target] {
     GiveGuard(aGuard, gpHeartbeatReceived{ target });
   });
@@ -334,7 +342,7 @@
     } else if (const auto* poll = std::get_if<gpPollTarget>(&effect)) {
       CarryPoll(aProcess.index_, *poll);
     } else if (const auto* record = std::get_if<gpStoreTargetRecord>(&effect)) {
-      records_[aProcess.index_] = record->target_;
+      records_[aProcess.index_] = record->record_;
     }
   }
 }
@@ -421,6 +429,7 @@
     const gpOrderReply reply = target->Start(aStart, run, now_);
     if (reply == gpOrderReply::Accepted) {
       CheckStarted(aStart.run_);
+      CheckCapacity(aGuard);
       CarryDeadly(aGuard, aStart.run_.task_);
     }
     return reply;
@@ -850,9 +859,7 @@
         doneTasks_[JobOf(end.run_.task_)].insert(end.run_.task_);
       }
     }
-    gpResources used;
     for (const auto& [id, run] : target->GetRunning()) {
-      used.Add(run.needs_);
       if (!tasks.insert(id.task_).second) {
         Break("two runs of " + id.task_ + " at one time");
       }
@@ -865,9 +872,26 @@
         Break(id.task_ + " runs on after its caller has left");
       }
     }
-    if (used.milliCores_ > kTargetMilliCores) {
-      Break("a target runs more than its capacity");
-    }
+  }
+}
+
+void
+gpLeaseHistory::ChangeCapacity(std::size_t aGuard)
+{
+  capacities_[aGuard].Change(kTaskMilliCores * (1 + Draw(4)), now_);
+  At(now_ + gpMillis(1000 + Draw(2000)),
+     [this, aGuard] { ChangeCapacity(aGuard); });
+}
+
+void
+gpLeaseHistory::CheckCapacity(std::size_t aGuard)
+{
+  gpResources used;
+  for (const auto& [id, run] : targets_[aGuard]->GetRunning()) {
+    used.Add(run.needs_);
+  }
+  if (used.milliCores_ > capacities_[aGuard].GetLimit(kCapacitySlack, now_)) {
+    Break("a start brings a target over its capacity");
   }
 }
 
--- a/Tests/Lease/gpLeaseHistory.h
+++ b/Tests/Lease/gpLeaseHistory.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "gpChangingCapacity.h"
 #include "gpDeadlyTasks.h"
 #include "gpLeaseEntryReducer.h"
 #include "gpLeaseGuardReducer.h"
@@ -34,6 +35,8 @@
   unsigned lostOrders_ = 40;
   /// Whether targets are unreachable for some time while they run.
   bool targetCuts_ = false;
+  /// Whether the capacities of targets shrink and grow while they run.
+  bool capacityChanges_ = false;
   /// Jobs of the second queue, of 1000, with a task that crashes each target
   /// that starts it. Half of all jobs go to the second queue.
   unsigned deadlyJobs_ = 0;
@@ -167,6 +170,9 @@
   void CarryDeadly(std::size_t aGuard, const std::string& aTask);
   /// Makes the target unreachable for a random time.
   void CutTarget(std::size_t aGuard);
+  void ChangeCapacity(std::size_t aGuard);
+  /// Checks that a run which has just started fits into its target.
+  void CheckCapacity(std::size_t aGuard);
   bool IsCut(std::size_t aGuard) const { return now_ < cutUntil_[aGuard]; }
   /// One end of a link learns that the link is lost; 0 is the guard's end.
   void LoseEnd(std::uint64_t aLink, int aEnd, gpErrorCode aReason);
@@ -184,8 +190,9 @@
   std::vector<Process> guards_;
   std::vector<std::unique_ptr<gpSimTarget>> targets_;
   std::vector<std::uint64_t> sequences_;
+  std::vector<gpChangingCapacity> capacities_;
   /// The record of its target that each guard has in the store.
-  std::vector<std::optional<gpTargetAnnouncement>> records_;
+  std::vector<std::optional<gpTargetRecord>> records_;
   /// Answers the polls that wait at each target, in the order of sending.
   std::vector<std::map<std::uint64_t, std::function<void(gpPollReplied)>>>
     waitingPolls_;
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -71,9 +71,11 @@
 
   bool KnowsTarget() const { return guard_.GetStatus().targetKnown_; }
 
-  void StartRun()
+  /// aEnforced tells the guard that the target itself refuses what doesn't fit.
+  void StartRun(bool aEnforced = true)
   {
     gpRunOrder order;
+    order.capacityEnforced_ = aEnforced;
     order.runs_.push_back(kRun);
     order.needs_ = { 1000, 0, 0 };
     Feed(gpMessageReceived{ kLink, order });
@@ -202,9 +204,13 @@
 {
 public:
   RestartedGuard()
+    : RestartedGuard(true)
+  {
+  }
+  explicit RestartedGuard(bool aEnforced)
     : GuardWithTarget(WithoutHeartbeat{})
   {
-    Feed(gpTargetRecordRead{ MakeTarget(1) });
+    Feed(gpTargetRecordRead{ { MakeTarget(1), aEnforced } });
   }
 };
 
@@ -251,7 +257,7 @@
   BOOST_TEST(guard.stored_ == 1);
   gpTargetAnnouncement older = MakeTarget(9);
   older.id_ = "t-0";
-  guard.Feed(gpTargetRecordRead{ older });
+  guard.Feed(gpTargetRecordRead{ { older, true } });
   guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
   guard.StartRun();
   BOOST_TEST(guard.starts_ == 1);
@@ -265,3 +271,50 @@
   guard.Feed(gpHeartbeatReceived{ MakeTarget(3, true) });
   BOOST_TEST(guard.stored_ == 2);
 }
+
+// Guards against a start that brings a target over its capacity, which has
+// shrunk while the guard was restarted.
+BOOST_AUTO_TEST_CASE(ARecordedCapacityIsNotUsedIfTheTargetDoesNotEnforceIt)
+{
+  RestartedGuard guard(false);
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun(false);
+  BOOST_TEST(guard.starts_ == 0);
+  guard.Feed(gpHeartbeatReceived{ MakeTarget(2) });
+  guard.StartRun(false);
+  BOOST_TEST(guard.starts_ == 1);
+}
+
+// The configuration may have changed since the record was stored.
+BOOST_AUTO_TEST_CASE(AnOrderEndsTheUseOfARecordedCapacity)
+{
+  RestartedGuard guard(true);
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun(false);
+  BOOST_TEST(guard.starts_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(TheRecordSaysWhetherTheTargetEnforcesItsCapacity)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  BOOST_TEST(guard.stored_ == 1);
+  guard.StartRun(true);
+  BOOST_TEST(guard.stored_ == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AShrunkCapacityCountsTheRunsThatAreBeingStopped)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun(false);
+  guard.Feed(gpMessageReceived{ kLink, gpRunCancel{ { kRun } } });
+  gpTargetAnnouncement shrunk = MakeTarget(2);
+  shrunk.capacity_ = { 1500, 0, 0 };
+  guard.Feed(gpHeartbeatReceived{ shrunk });
+  gpRunOrder order;
+  order.runs_.push_back({ "other.0.0.0", 2 });
+  order.needs_ = { 1000, 0, 0 };
+  guard.Feed(gpMessageReceived{ kLink, order });
+  BOOST_TEST(guard.starts_ == 1);
+}
--- a/Tests/Lease/testLeaseHistories.cxx
+++ b/Tests/Lease/testLeaseHistories.cxx
@@ -113,6 +113,19 @@
   RunHistories(options, 1000);
 }
 
+// Guards against a start that brings a target over a capacity that has shrunk,
+// also while its guard was restarted. The simulated targets start whatever they
+// are told to.
+BOOST_AUTO_TEST_CASE(HistoriesWithChangingCapacitiesKeepTheLimits)
+{
+  gpLeaseHistoryOptions options;
+  options.length_ = gpMillis(5000);
+  options.capacityChanges_ = true;
+  // The platform exempts orders that a target carries out late.
+  options.lostOrders_ = 0;
+  RunHistories(options, 1000);
+}
+
 // Guards against a task that is placed again each time after it has crashed its
 // target, as the run counts as stopped and a repeated submission as a new job.
 BOOST_AUTO_TEST_CASE(HistoriesWithDeadlyTasksGiveThemUp)
--- a/Tests/Platform/testPlatformStore.cxx
+++ b/Tests/Platform/testPlatformStore.cxx
@@ -25,7 +25,7 @@
     R"("pathPrefix":"/x/","type":"non_idempotent","timeoutMs":1500,)"
     R"("sloMs":60,"priority":2,"service":"ponds","maxAttempts":4,)"
     R"("stretch":1.6},{"name":"r-2","host":"a.example",)"
-    R"("pathPrefix":"/x/y/","service":"ponds"}],"services":[]})");
+    R"("pathPrefix":"/x/y/","service":"ponds"}],"services":[{"name":"ponds","enforcesCapacity":true}]})");
   BOOST_REQUIRE(queues.ok());
   BOOST_TEST(queues->version_.value_ == 7U);
   const gpQueue* queue = queues->Find("a.example", "/x/5c0e7a21d94b36f8");
@@ -34,6 +34,7 @@
   BOOST_TEST(queue->maxAttempts_ == 4U);
   BOOST_TEST(queue->stretch_ == 1.6);
   BOOST_TEST(queue->allowance_.count() == 60);
+  BOOST_TEST(queue->targetsEnforceCapacity_);
   // The longest matching prefix decides.
   BOOST_TEST(queues->Find("a.example", "/x/y/1")->name_.value_ == "r-2");
   BOOST_CHECK(queues->Find("b.example", "/x/1") == nullptr);
