Entry: Forget a target's failures when it has crashed

Cause: calls that a crash refuses are reported as unhealthy, and three of them in a row eject the target, for a second or more; what an incarnation has failed was held against the next one. Class of fault: state about one incarnation outlives it.

The report of a crash resets the health. It comes after the refusals, 5 ms after the first.

Evidence: ACrashedTargetIsUsedAtOnceWhenItIsBack failed before.

--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -352,6 +352,7 @@
   }
   for (const gpTargetCrash& crash : aMessage.crashes_) {
     if (LearnCrash(crash)) {
+      targetTable_.NoteCrash(guard->second);
       ContainQueues(crash, aMessage.service_);
     }
   }
--- a/Source/Lease/gpTargetTable.cxx
+++ b/Source/Lease/gpTargetTable.cxx
@@ -421,6 +421,15 @@
   }
 }
 
+void
+gpTargetTable::NoteCrash(gpIncarnation aGuard)
+{
+  if (gpTargetView* view = Find(aGuard)) {
+    view->health_ = gpTargetHealth();
+    view->lastFailedJob_.clear();
+  }
+}
+
 bool
 gpTargetTable::HasTarget(const gpServiceName& aService,
                          gpPlacementScope aScope) const
--- a/Tests/Lease/testLeaseEntry.cxx
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -354,3 +354,21 @@
   BOOST_TEST(refusal.retryAfter_.has_value());
   BOOST_TEST(entry.ordered_.size() == 2U);
 }
+
+// Guards against a target that gets no work for a second or more after its
+// return, as the calls that its crash has broken count as its failures.
+BOOST_AUTO_TEST_CASE(ACrashedTargetIsUsedAtOnceWhenItIsBack)
+{
+  EntryWithGuard entry;
+  for (std::uint64_t job = 1; job <= 3; ++job) {
+    entry.Feed(
+      gpLeaseJobSubmitted{ gpRequestId(job), MakeJob(std::to_string(job)) });
+    entry.EndRun(gpRunEnd::Unhealthy);
+    entry.Feed(gpMessageReceived{
+      kLink, gpCapacityReport{ { 1000, 0, 0 }, entry.ordered_.size() } });
+  }
+  const std::size_t before = entry.ordered_.size();
+  entry.CrashTarget(1, false);
+  entry.Pass(gpMillis(1));
+  BOOST_TEST(entry.ordered_.size() > before);
+}
