--- /dev/null
+++ b/Source/Lease/gpCrashMonitor.cxx
@@ -0,0 +1,91 @@
+#include "gpCrashMonitor.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "gpLeaseLogEvents.h"
+
+namespace {
+
+void
+WriteQueue(gpEventKind aKind,
+           const gpContainedQueue& aQueue,
+           gpLeaseEffects& aOut)
+{
+  gpTimelineEvent event = gpProcessLogEvent(aKind, aQueue.queue_.value_);
+  event.key_ = gpServiceKey{ aQueue.service_, gpSubmissionKey() };
+  aOut.Write(std::move(event));
+}
+
+} // namespace
+
+gpCrashNovelty
+gpCrashMonitor::Learn(const gpTargetCrash& aCrash, gpTime aNow)
+{
+  recent_.DropOld(aNow);
+  const gpCrashNovelty novelty = ledger_.Add(aCrash, aNow);
+  switch (novelty) {
+    case gpCrashNovelty::Known:
+      break;
+    case gpCrashNovelty::New:
+      recent_.Add(aCrash, aNow);
+      break;
+    case gpCrashNovelty::Confirmed:
+      recent_.Confirm(aCrash.target_, aCrash.number_);
+      break;
+  }
+  return novelty;
+}
+
+void
+gpCrashMonitor::ContainQueues(const gpTargetCrash& aCrash,
+                              const gpServiceName& aService,
+                              gpTime aNow,
+                              gpLeaseEffects& aOut)
+{
+  for (const gpContainedQueue& queue :
+       containment_.NoteCrash(aCrash, aService, aNow)) {
+    WriteQueue(gpEventKind::QueueContained, queue, aOut);
+  }
+  const std::set<gpQueueName> suspected = gpSuspectedQueues(aCrash);
+  const bool isDeadly = std::any_of(
+    aCrash.runs_.begin(), aCrash.runs_.end(), [this](const gpLostRun& aRun) {
+      return aRun.suspected_ && ledger_.IsDeadly(aRun.run_.task_);
+    });
+  // If other queues are suspected too, the task may have been suspected twice
+  // by chance.
+  if (isDeadly && suspected.size() == 1) {
+    Adopt({ { *suspected.begin(), aService } }, aNow, aOut);
+  }
+}
+
+void
+gpCrashMonitor::Adopt(const std::vector<gpContainedQueue>& aQueues,
+                      gpTime aNow,
+                      gpLeaseEffects& aOut)
+{
+  for (const gpContainedQueue& queue : aQueues) {
+    if (containment_.Contain(queue, aNow)) {
+      WriteQueue(gpEventKind::QueueContained, queue, aOut);
+    }
+  }
+}
+
+void
+gpCrashMonitor::ReleaseQueues(
+  const std::function<bool(const gpServiceName&)>& aHasTarget,
+  gpTime aNow,
+  gpLeaseEffects& aOut)
+{
+  for (const gpContainedQueue& queue : containment_.Release(aHasTarget, aNow)) {
+    WriteQueue(gpEventKind::QueueReleased, queue, aOut);
+  }
+}
+
+void
+gpCrashMonitor::AddTo(gpEntryUpdate& aUpdate) const
+{
+  aUpdate.crashes_ = recent_.List();
+  aUpdate.contained_ = containment_.List();
+}
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -28,8 +28,6 @@
 /// shutdown time.
 constexpr double kShutdownMargin = 2.0;
 constexpr gpMillis kShutdownPause{ 200 };
-/// How long an entry that links later is told of a crash.
-constexpr gpMillis kCrashKeepTime{ 60000 };
 
 } // namespace
 
@@ -37,12 +35,11 @@
   : options_(std::move(aOptions))
   , peers_(options_.self_, options_.links_)
   , targetTable_(options_.self_.dataCentre_)
-  , recentCrashes_(kCrashKeepTime)
-  , admission_(targetTable_, jobs_, containment_)
+  , admission_(targetTable_, jobs_, crashes_.GetContainment())
   , dispatcher_(jobs_,
                 targetTable_,
-                crashLedger_,
-                containment_,
+                crashes_.GetLedger(),
+                crashes_.GetContainment(),
                 options_.firstRun_)
 {
 }
@@ -130,7 +127,7 @@
     return;
   }
   const auto crashRefusal =
-    gpLeaseAdmission::FindCrashRefusal(aEvent.job_, crashLedger_);
+    gpLeaseAdmission::FindCrashRefusal(aEvent.job_, crashes_.GetLedger());
   if (crashRefusal.has_value()) {
     Refuse(aEvent, queue, *crashRefusal);
     return;
@@ -211,8 +208,7 @@
     targetTable_.OnLinked(peer, aEvent.link_);
   } else {
     peers_.OnLinked(aEvent);
-    update.crashes_ = recentCrashes_.List();
-    update.contained_ = containment_.List();
+    crashes_.AddTo(update);
   }
   out_.Send(aEvent.link_, std::move(update));
 }
@@ -353,7 +349,7 @@
   for (const gpTargetCrash& crash : aMessage.crashes_) {
     if (LearnCrash(crash)) {
       targetTable_.NoteCrash(guard->second);
-      ContainQueues(crash, aMessage.service_);
+      crashes_.ContainQueues(crash, aMessage.service_, now_, out_);
     }
   }
   targetTable_.OnTargetUpdate(guard->second, aMessage);
@@ -378,88 +374,42 @@
   for (const gpTargetCrash& crash : aMessage.crashes_) {
     LearnCrash(crash);
   }
-  for (const gpContainedQueue& queue : aMessage.contained_) {
-    if (containment_.Contain(queue, now_)) {
-      WriteQueue(gpEventKind::QueueContained, queue);
-    }
-  }
+  crashes_.Adopt(aMessage.contained_, now_, out_);
 }
 
 bool
 gpLeaseEntryReducer::LearnCrash(const gpTargetCrash& aCrash)
 {
-  const gpCrashNovelty novelty = crashLedger_.Add(aCrash, now_);
+  const gpCrashNovelty novelty = crashes_.Learn(aCrash, now_);
   if (novelty == gpCrashNovelty::Known) {
     return false;
   }
-  recentCrashes_.DropOld(now_);
-  if (novelty == gpCrashNovelty::New) {
-    recentCrashes_.Add(aCrash, now_);
-  } else {
-    recentCrashes_.Confirm(aCrash.target_, aCrash.number_);
-  }
   peers_.Forward(aCrash);
+  const gpCrashLedger& ledger = crashes_.GetLedger();
   for (const gpLostRun& run : aCrash.runs_) {
     const std::string id = gpJobOfTask(run.run_.task_);
     gpLeaseRecord* job = jobs_.FindById(id);
-    if (job != nullptr && crashLedger_.IsWithheld(id)) {
+    if (job != nullptr && ledger.IsWithheld(id)) {
       FailJob(*job,
-              crashLedger_.IsGivenUp(id) ? gpLeaseReason::TaskCrashes
-                                         : gpLeaseReason::TaskSuspected);
+              ledger.IsGivenUp(id) ? gpLeaseReason::TaskCrashes
+                                   : gpLeaseReason::TaskSuspected);
     }
   }
   return novelty == gpCrashNovelty::New;
 }
 
-void
-gpLeaseEntryReducer::ContainQueues(const gpTargetCrash& aCrash,
-                                   const gpServiceName& aService)
-{
-  for (const gpContainedQueue& queue :
-       containment_.NoteCrash(aCrash, aService, now_)) {
-    WriteQueue(gpEventKind::QueueContained, queue);
-  }
-  const std::set<gpQueueName> suspected = gpSuspectedQueues(aCrash);
-  if (suspected.size() != 1) {
-    return;
-  }
-  const bool isDeadly = std::any_of(
-    aCrash.runs_.begin(), aCrash.runs_.end(), [this](const gpLostRun& aRun) {
-      return aRun.suspected_ && crashLedger_.IsDeadly(aRun.run_.task_);
-    });
-  const gpContainedQueue queue{ *suspected.begin(), aService };
-  if (isDeadly && containment_.Contain(queue, now_)) {
-    WriteQueue(gpEventKind::QueueContained, queue);
-  }
-}
-
-void
-gpLeaseEntryReducer::ReleaseQueues()
-{
-  const auto hasTarget = [this](const gpServiceName& aService) {
-    return targetTable_.HasTarget(aService, gpPlacementScope::SetApart);
-  };
-  for (const gpContainedQueue& queue : containment_.Release(hasTarget, now_)) {
-    WriteQueue(gpEventKind::QueueReleased, queue);
-  }
-}
-
-void
-gpLeaseEntryReducer::WriteQueue(gpEventKind aKind,
-                                const gpContainedQueue& aQueue)
-{
-  gpTimelineEvent event = gpProcessLogEvent(aKind, aQueue.queue_.value_);
-  event.key_ = gpServiceKey{ aQueue.service_, gpSubmissionKey() };
-  out_.Write(std::move(event));
-}
-
 void
 gpLeaseEntryReducer::On(const gpTimePassed&)
 {
   if (wakeAt_ != gpTime{}) {
     lag_.NoteTimer(wakeAt_, now_);
   }
-  ReleaseQueues();
+  crashes_.ReleaseQueues(
+    [this](const gpServiceName& aService) {
+      return targetTable_.HasTarget(aService, gpPlacementScope::SetApart);
+    },
+    now_,
+    out_);
   CheckAllTimes();
   dispatcher_.Dispatch(now_, out_);
 }
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -6,13 +6,12 @@
 #include <string>
 #include <vector>
 
-#include "gpCrashLedger.h"
+#include "gpCrashMonitor.h"
 #include "gpEntryPeers.h"
 #include "gpLeaseAdmission.h"
 #include "gpLeaseEvent.h"
 #include "gpLeaseJobTable.h"
 #include "gpLoopLag.h"
-#include "gpRecentCrashes.h"
 #include "gpRunDispatcher.h"
 #include "gpTargetTable.h"
 
@@ -101,11 +100,6 @@
   /// Counts a crash of a target, tells the other entries of it, and fails the
   /// jobs that have to be given up. Returns whether the crash is new.
   bool LearnCrash(const gpTargetCrash& aCrash);
-  /// Contains queues whose tasks crash targets of the service.
-  void ContainQueues(const gpTargetCrash& aCrash,
-                     const gpServiceName& aService);
-  void ReleaseQueues();
-  void WriteQueue(gpEventKind aKind, const gpContainedQueue& aQueue);
   void OnTaskDone(gpLeaseRecord& aJob, std::size_t aTask);
   /// A run ended without completing its task: places the task again, or fails
   /// the job if its attempts are used up.
@@ -135,10 +129,7 @@
   gpEntryPeers peers_;
   gpTargetTable targetTable_;
   gpLeaseJobTable jobs_;
-  gpCrashLedger crashLedger_;
-  gpQueueContainment containment_;
-  /// Crashes of which entries are told that link later.
-  gpRecentCrashes recentCrashes_;
+  gpCrashMonitor crashes_;
   gpLeaseAdmission admission_;
   gpRunDispatcher dispatcher_;
   std::map<gpLinkId, gpIncarnation> guards_;
