Entry: Contain no queue for runs that name none

What could happen: beside entries of an older version, whose orders don't name the queue, a few crashes contain the queue without a name.

Cause: an optional field of a message is used as if it were always set.

Evidence: RunsWithoutAQueueContainNothing failed before.

--- a/Source/Lease/gpCrashDetector.cxx
+++ b/Source/Lease/gpCrashDetector.cxx
@@ -85,7 +85,7 @@
     const double chance = rate.ChanceOfStart(kSuspectedAge, GetCrashTime());
     const auto permille =
       static_cast<std::uint32_t>(std::lround(chance * kPermille));
-    if (permille > 0) {
+    if (permille > 0 && !queue.value_.empty()) {
       queues.push_back({ queue, permille });
     }
   }
--- a/Source/Model/gpCrashMessages.h
+++ b/Source/Model/gpCrashMessages.h
@@ -72,13 +72,14 @@
   bool operator==(const gpTargetCrash&) const = default;
 };
 
-/// The queues of the runs that are suspected of the crash.
+/// The queues of the runs that are suspected of the crash. Runs of entries of
+/// an older version have no queue.
 inline std::set<gpQueueName>
 gpSuspectedQueues(const gpTargetCrash& aCrash)
 {
   std::set<gpQueueName> queues;
   for (const gpLostRun& run : aCrash.runs_) {
-    if (run.suspected_) {
+    if (run.suspected_ && !run.queue_.value_.empty()) {
       queues.insert(run.queue_);
     }
   }
--- a/Tests/Lease/testCrashes.cxx
+++ b/Tests/Lease/testCrashes.cxx
@@ -281,6 +281,28 @@
   BOOST_TEST(!crashes.IsContained(kQueue));
 }
 
+// Entries of an older version don't name the queue of a run. Guards against a
+// containment that belongs to no queue, so that all queues of the service lose
+// targets for nothing.
+BOOST_AUTO_TEST_CASE(RunsWithoutAQueueContainNothing)
+{
+  gpCrashDetector detector;
+  gpRunTable runs;
+  runs.Add(MakeRun("young.0.0.0", kStart));
+  detector.NoteStart(gpQueueName(), kStart);
+  detector.NoteReply(gpOrderReply::Accepted, kStart);
+  detector.NoteReply(gpOrderReply::NotSent, kStart + gpMillis(10));
+  gpTargetCrash crash{ "target", 0, true, {}, detector.ListQueues() };
+  crash.runs_ = detector.TakeLostRuns(runs);
+  BOOST_REQUIRE(crash.runs_.front().suspected_);
+  gpQueueContainment containment;
+  for (int second = 0; second < 4; ++second) {
+    containment.NoteCrash(
+      crash, kService, kStart + std::chrono::seconds(second));
+  }
+  BOOST_TEST(!containment.IsInForce());
+}
+
 // A contained queue goes on crashing targets, where tasks of others may run.
 BOOST_AUTO_TEST_CASE(CrashesOfAContainedQueueAreNotHeldAgainstOthers)
 {
