Tests: Let a caller of a history submit its job again only once

Cause: the history's own fault. The caller had lost its connection to an entry that was frozen, and had submitted the job to another entry. When the frozen entry went on and answered the first request, the caller, who couldn't receive that answer, submitted the job a second time, 47 ms after the third submission. The trace shows both chains. A caller of the platform has one submission under way.

No check changes; the histories that let callers submit failed jobs again are those with deadly tasks alone.

--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -572,7 +572,8 @@
     }
     if (options_.resubmitsFailed_ &&
         aAnswer.reason_ != gpLeaseReason::TaskFailed &&
-        aAnswer.reason_ != gpLeaseReason::TaskCrashes) {
+        aAnswer.reason_ != gpLeaseReason::TaskCrashes &&
+        !std::exchange(caller.resubmitted_, true)) {
       At(now_ + kShortestResend,
          [this, job = caller.job_, tries = caller.tries_] {
            Submit(job, tries + 1);
