Tests: Links between entries in histories with deadly tasks

Entries tell each other of crashes, so what an entry knows outlives it. Any two processes can be linked now; the histories with deadly tasks let entries link with each other. All others are as before.

--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -174,6 +174,16 @@
   return std::stoul(aAddress.value_.substr(aAddress.value_.find('-') + 1));
 }
 
+gpEntriesFound
+gpLeaseHistory::ListEntries() const
+{
+  gpEntriesFound found;
+  for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
+    found.entries_.push_back(AddressOf(entry));
+  }
+  return found;
+}
+
 void
 gpLeaseHistory::StartEntry(std::size_t aIndex)
 {
@@ -185,7 +195,11 @@
   options.firstRun_ = WallClockMs();
   options.shutdown_ = gpMillis(5000);
   process.entry_ = std::make_unique<gpLeaseEntryReducer>(options);
+  process.watched_.clear();
   GiveEntry(aIndex, gpQueuesChanged{ MakeQueues() });
+  if (options_.peerLinks_) {
+    GiveEntry(aIndex, ListEntries());
+  }
 }
 
 void
@@ -203,11 +217,7 @@
   options.shutdown_ = gpMillis(5000);
   process.guard_ = std::make_unique<gpLeaseGuardReducer>(options);
   process.watched_.clear();
-  gpEntriesFound found;
-  for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
-    found.entries_.push_back(AddressOf(entry));
-  }
-  GiveGuard(aIndex, found);
+  GiveGuard(aIndex, ListEntries());
   if (records_[aIndex].has_value()) {
     AtProcess(process, now_ + kStoreLatency, [this, aIndex] {
       GiveGuard(aIndex, gpTargetRecordRead{ *records_[aIndex] });
@@ -244,40 +254,41 @@
 }
 
 void
-gpLeaseHistory::Dial(std::size_t aGuard, std::size_t aEntry)
+gpLeaseHistory::Dial(Process& aProcess, std::size_t aEntry)
 {
-  Process& guard = guards_[aGuard];
   Process& entry = entries_[aEntry];
-  const bool isReady = guard.alive_ && entry.alive_ &&
-                       now_ >= guard.frozenUntil_ && now_ >= entry.frozenUntil_;
+  const bool isReady = aProcess.alive_ && entry.alive_ &&
+                       now_ >= aProcess.frozenUntil_ &&
+                       now_ >= entry.frozenUntil_;
   for (const auto& [id, link] : links_) {
-    const bool isOurs = link.guard_ == aGuard && link.entry_ == aEntry &&
-                        link.guardGeneration_ == guard.generation_;
+    const bool isOurs = link.ends_[0] == &aProcess && link.ends_[1] == &entry &&
+                        link.generations_[0] == aProcess.generation_;
     if (isOurs && link.open_[0]) {
       return;
     }
   }
-  if (!guard.alive_ || !guard.watched_.contains(aEntry)) {
+  if (!aProcess.alive_ || !aProcess.watched_.contains(aEntry)) {
     return;
   }
   if (!isReady) {
-    At(now_ + gpMillis(100), [this, aGuard, aEntry] { Dial(aGuard, aEntry); });
-    AtProcess(guard, now_, [this, aGuard, aEntry] {
-      GiveGuard(aGuard,
-                gpDialFailed{ AddressOf(aEntry), gpErrorCode::ConnectRefused });
+    At(now_ + gpMillis(100),
+       [this, &aProcess, aEntry] { Dial(aProcess, aEntry); });
+    AtProcess(aProcess, now_, [this, &aProcess, aEntry] {
+      Give(aProcess,
+           gpDialFailed{ AddressOf(aEntry), gpErrorCode::ConnectRefused });
     });
     return;
   }
   const std::uint64_t id = ++lastLink_;
   Link link;
-  link.guard_ = aGuard;
-  link.entry_ = aEntry;
-  link.guardGeneration_ = guard.generation_;
-  link.entryGeneration_ = entry.generation_;
+  link.ends_[0] = &aProcess;
+  link.ends_[1] = &entry;
+  link.generations_[0] = aProcess.generation_;
+  link.generations_[1] = entry.generation_;
   links_.emplace(id, link);
-  GiveEntry(aEntry, gpLinkOpened{ gpLinkId(id), guard.peer_, std::nullopt });
-  GiveGuard(aGuard,
-            gpLinkOpened{ gpLinkId(id), entry.peer_, entry.peer_.address_ });
+  GiveEntry(aEntry, gpLinkOpened{ gpLinkId(id), aProcess.peer_, std::nullopt });
+  Give(aProcess,
+       gpLinkOpened{ gpLinkId(id), entry.peer_, entry.peer_.address_ });
 }
 
 template<typename Input>
@@ -302,6 +313,17 @@
   CarryOut(process, process.guard_->Reduce(event));
 }
 
+template<typename Input>
+void
+gpLeaseHistory::Give(Process& aProcess, Input aInput)
+{
+  if (aProcess.entry_ != nullptr) {
+    GiveEntry(aProcess.index_, std::move(aInput));
+  } else {
+    GiveGuard(aProcess.index_, std::move(aInput));
+  }
+}
+
 void
 gpLeaseHistory::CarryOut(Process& aProcess, std::vector<gpLeaseEffect> aEffects)
 {
@@ -309,13 +331,15 @@
     if (auto* send = std::get_if<gpSend>(&effect)) {
       CarrySend(aProcess, *send);
     } else if (const auto* close = std::get_if<gpCloseLink>(&effect)) {
-      links_.at(close->link_.value_).open_[0] = false;
       const std::uint64_t id = close->link_.value_;
+      Link& link = links_.at(id);
+      const int end = EndOf(link, aProcess);
+      link.open_[end] = false;
       At(now_ + DrawLatency(),
-         [this, id] { LoseEnd(id, 1, gpErrorCode::LinkClosed); });
+         [this, id, end] { LoseEnd(id, 1 - end, gpErrorCode::LinkClosed); });
       At(now_ + gpMillis(100),
-         [this, guard = aProcess.index_, entry = links_.at(id).entry_] {
-           Dial(guard, entry);
+         [this, dialer = link.ends_[0], entry = link.ends_[1]->index_] {
+           Dial(*dialer, entry);
          });
     } else if (const auto* watch = std::get_if<gpWatchAddress>(&effect)) {
       CarryWatch(aProcess, EntryAt(watch->address_));
@@ -327,11 +351,7 @@
         if (aProcess.wakeAt_ != when) {
           return;
         }
-        if (aProcess.entry_ != nullptr) {
-          GiveEntry(aProcess.index_, gpTimePassed{});
-        } else {
-          GiveGuard(aProcess.index_, gpTimePassed{});
-        }
+        Give(aProcess, gpTimePassed{});
       });
     } else if (const auto* answer = std::get_if<gpAnswerLeaseJob>(&effect)) {
       OnAnswer(answer->request_, answer->answer_);
@@ -350,25 +370,22 @@
 void
 gpLeaseHistory::CarryWatch(Process& aProcess, std::size_t aEntry)
 {
-  if (aProcess.guard_ == nullptr) {
-    return; // links between entries aren't simulated
+  if (aProcess.entry_ != nullptr && !options_.peerLinks_) {
+    return;
   }
   aProcess.watched_.insert(aEntry);
   At(now_ + gpMillis(1 + Draw(100)),
-     [this, guard = aProcess.index_, aEntry] { Dial(guard, aEntry); });
+     [this, &aProcess, aEntry] { Dial(aProcess, aEntry); });
 }
 
 void
 gpLeaseHistory::CarryUnwatch(Process& aProcess, std::size_t aEntry)
 {
-  if (aProcess.guard_ == nullptr) {
-    return;
-  }
   aProcess.watched_.erase(aEntry);
   for (auto& [id, link] : links_) {
-    const bool isOurs = link.guard_ == aProcess.index_ &&
-                        link.entry_ == aEntry &&
-                        link.guardGeneration_ == aProcess.generation_;
+    const bool isOurs = link.ends_[0] == &aProcess &&
+                        link.ends_[1] == &entries_[aEntry] &&
+                        link.generations_[0] == aProcess.generation_;
     if (isOurs && std::exchange(link.open_[0], false)) {
       ++moves_;
       At(now_ + DrawLatency(),
@@ -381,7 +398,7 @@
 gpLeaseHistory::CarrySend(Process& aProcess, gpSend& aSend)
 {
   Link& link = links_.at(aSend.link_.value_);
-  const int from = aProcess.guard_ != nullptr ? 0 : 1;
+  const int from = EndOf(link, aProcess);
   if (const auto* order = std::get_if<gpRunOrder>(&aSend.message_)) {
     for (const gpRunId& run : order->runs_) {
       ordered_.emplace(run, newest_.at(JobOf(run.task_)));
@@ -394,18 +411,13 @@
   const gpTime when = std::max(link.lastAt_[from], now_ + DrawLatency());
   link.lastAt_[from] = when;
   const int to = 1 - from;
-  Process& receiver = to == 0 ? guards_[link.guard_] : entries_[link.entry_];
+  Process& receiver = *link.ends_[to];
   const std::uint64_t id = aSend.link_.value_;
   AtProcess(
     receiver, when, [this, id, to, message = std::move(aSend.message_)] {
       const Link& open = links_.at(id);
-      if (!open.open_[to]) {
-        return;
-      }
-      if (to == 0) {
-        GiveGuard(open.guard_, gpMessageReceived{ gpLinkId(id), message });
-      } else {
-        GiveEntry(open.entry_, gpMessageReceived{ gpLinkId(id), message });
+      if (open.open_[to]) {
+        Give(*open.ends_[to], gpMessageReceived{ gpLinkId(id), message });
       }
     });
 }
@@ -715,11 +727,9 @@
 gpLeaseHistory::LoseEnd(std::uint64_t aLink, int aEnd, gpErrorCode aReason)
 {
   Link& link = links_.at(aLink);
-  Process& process = aEnd == 0 ? guards_[link.guard_] : entries_[link.entry_];
-  const std::uint64_t generation =
-    aEnd == 0 ? link.guardGeneration_ : link.entryGeneration_;
+  Process& process = *link.ends_[aEnd];
   if (!link.open_[aEnd] || !process.alive_ ||
-      process.generation_ != generation) {
+      process.generation_ != link.generations_[aEnd]) {
     return;
   }
   AtProcess(process, now_, [this, aLink, aEnd, aReason] {
@@ -728,14 +738,11 @@
       return;
     }
     lost.silent_ = true;
+    Process& loser = *lost.ends_[aEnd];
+    Give(loser, gpLinkLost{ gpLinkId(aLink), aReason });
     if (aEnd == 0) {
-      GiveGuard(lost.guard_, gpLinkLost{ gpLinkId(aLink), aReason });
       At(now_ + gpMillis(100),
-         [this, guard = lost.guard_, entry = lost.entry_] {
-           Dial(guard, entry);
-         });
-    } else {
-      GiveEntry(lost.entry_, gpLinkLost{ gpLinkId(aLink), aReason });
+         [this, &loser, entry = lost.ends_[1]->index_] { Dial(loser, entry); });
     }
   });
 }
@@ -750,13 +757,10 @@
   const bool isEntry = aProcess.entry_ != nullptr;
   const bool isSilent = Chance(300);
   for (auto& [id, link] : links_) {
-    const bool isOurs = isEntry
-                          ? link.entry_ == aProcess.index_ && link.open_[1]
-                          : link.guard_ == aProcess.index_ && link.open_[0];
-    if (isOurs) {
+    if (IsOpenAt(link, aProcess)) {
       link.silent_ = true;
       const gpMicros delay = isSilent ? gpMicros(kLinkSilence) : DrawLatency();
-      At(now_ + delay, [this, id = id, end = isEntry ? 0 : 1] {
+      At(now_ + delay, [this, id = id, end = 1 - EndOf(link, aProcess)] {
         LoseEnd(id, end, gpErrorCode::LinkClosed);
       });
     }
@@ -789,23 +793,18 @@
   }
   const gpMillis length(20 + Draw(2000));
   aProcess.frozenUntil_ = now_ + length;
-  const bool isEntry = aProcess.entry_ != nullptr;
   for (auto& [id, link] : links_) {
-    const bool isOurs = isEntry
-                          ? link.entry_ == aProcess.index_ && link.open_[1]
-                          : link.guard_ == aProcess.index_ && link.open_[0];
-    if (!isOurs || length <= kLinkSilence) {
+    if (!IsOpenAt(link, aProcess) || length <= kLinkSilence) {
       continue;
     }
     // The other end receives nothing and closes the link. The frozen process
     // learns of it only after its freeze, after the messages that arrived
     // before.
-    At(now_ + kLinkSilence, [this, id = id, end = isEntry ? 0 : 1] {
-      LoseEnd(id, end, gpErrorCode::LinkSilent);
-    });
-    At(now_ + length + gpMillis(1), [this, id = id, end = isEntry ? 1 : 0] {
-      LoseEnd(id, end, gpErrorCode::LinkClosed);
-    });
+    const int end = EndOf(link, aProcess);
+    At(now_ + kLinkSilence,
+       [this, id = id, end] { LoseEnd(id, 1 - end, gpErrorCode::LinkSilent); });
+    At(now_ + length + gpMillis(1),
+       [this, id = id, end] { LoseEnd(id, end, gpErrorCode::LinkClosed); });
   }
 }
 
--- a/Tests/Lease/gpLeaseHistory.h
+++ b/Tests/Lease/gpLeaseHistory.h
@@ -45,6 +45,8 @@
   /// Whether callers submit a job again that failed for another reason than
   /// its tasks.
   bool resubmitsFailed_ = false;
+  /// Whether entries have links with each other.
+  bool peerLinks_ = false;
 };
 
 /** \class gpLeaseHistory
@@ -94,16 +96,15 @@
     bool alive_ = false;
     gpTime frozenUntil_;
     gpTime wakeAt_;
-    /// Entries that a guard dials.
+    /// Entries that the process dials.
     std::set<std::size_t> watched_;
   };
   struct Link
   {
-    std::size_t guard_ = 0;
-    std::size_t entry_ = 0;
-    std::uint64_t guardGeneration_ = 0;
-    std::uint64_t entryGeneration_ = 0;
-    /// Whether each end considers the link open: [0] the guard, [1] the entry.
+    /// The processes at both ends: [0] has dialed the link, [1] is an entry.
+    Process* ends_[2] = { nullptr, nullptr };
+    std::uint64_t generations_[2] = { 0, 0 };
+    /// Whether each end considers the link open.
     bool open_[2] = { true, true };
     bool silent_ = false;
     /// Arrival time of the last message, by sending end: messages of a link
@@ -138,15 +139,32 @@
   void Begin(Process& aProcess, std::size_t aIndex, gpRole aRole);
   static gpAddress AddressOf(std::size_t aEntry);
   static std::size_t EntryAt(const gpAddress& aAddress);
+  /// The addresses of all entries.
+  gpEntriesFound ListEntries() const;
   void StartEntry(std::size_t aIndex);
   void StartGuard(std::size_t aIndex);
   void StartTarget(std::size_t aGuard);
-  void Dial(std::size_t aGuard, std::size_t aEntry);
+  /// Opens a link from the process to the entry, unless there is one.
+  void Dial(Process& aProcess, std::size_t aEntry);
+  /// The end of the link at which the process is.
+  static int EndOf(const Link& aLink, const Process& aProcess)
+  {
+    return aLink.ends_[0] == &aProcess ? 0 : 1;
+  }
+  /// Whether the process is at an end of the link that it considers open.
+  static bool IsOpenAt(const Link& aLink, const Process& aProcess)
+  {
+    const int end = EndOf(aLink, aProcess);
+    return aLink.ends_[end] == &aProcess && aLink.open_[end];
+  }
   void Heartbeat(std::size_t aGuard);
   template<typename Input>
   void GiveEntry(std::size_t aIndex, Input aInput);
   template<typename Input>
   void GiveGuard(std::size_t aIndex, Input aInput);
+  /// Gives an event that entries and guards handle.
+  template<typename Input>
+  void Give(Process& aProcess, Input aInput);
   void CarryOut(Process& aProcess, std::vector<gpLeaseEffect> aEffects);
   void CarryWatch(Process& aProcess, std::size_t aEntry);
   void CarryUnwatch(Process& aProcess, std::size_t aEntry);
@@ -176,7 +194,7 @@
   /// Checks that a run which has just started fits into its target.
   void CheckCapacity(std::size_t aGuard);
   bool IsCut(std::size_t aGuard) const { return now_ < cutUntil_[aGuard]; }
-  /// One end of a link learns that the link is lost; 0 is the guard's end.
+  /// One end of a link learns that the link is lost.
   void LoseEnd(std::uint64_t aLink, int aEnd, gpErrorCode aReason);
 
   void Check();
--- a/Tests/Lease/testLeaseHistories.cxx
+++ b/Tests/Lease/testLeaseHistories.cxx
@@ -63,6 +63,7 @@
   options.lostOrders_ = 0;
   options.deadlyJobs_ = 100;
   options.resubmitsFailed_ = true;
+  options.peerLinks_ = true;
   return options;
 }
 
