Entry: Use a crash in the same way whoever reports it first

What could happen: an entry contains a queue late or never, and keeps an ejected target idle after its return.

Cause: the test for containment and the reset of the target's health were done only when a guard's report was new. The same crash may have arrived from a peer before, and with bounded links an entry hears of most crashes from peers alone. Class of fault: an effect depends on which copy of a message arrives first.

A crash names its service now. The test takes every new crash; the target table compares the numbers of a target's crashes itself.

Evidence: AnEntryContainsAQueueForCrashesThatPeersReport and ACrashedTargetIsUsedAtOnceIfAPeerReportedItsCrashFirst failed before.

With it, the comment on the threshold says what it is.

--- a/Source/Lease/gpCrashMonitor.cxx
+++ b/Source/Lease/gpCrashMonitor.cxx
@@ -21,7 +21,9 @@
 } // namespace
 
 gpCrashNovelty
-gpCrashMonitor::Learn(const gpTargetCrash& aCrash, gpTime aNow)
+gpCrashMonitor::Learn(const gpTargetCrash& aCrash,
+                      gpTime aNow,
+                      gpLeaseEffects& aOut)
 {
   recent_.DropOld(aNow);
   const gpCrashNovelty novelty = ledger_.Add(aCrash, aNow);
@@ -30,6 +32,7 @@
       break;
     case gpCrashNovelty::New:
       recent_.Add(aCrash, aNow);
+      ContainQueues(aCrash, aNow, aOut);
       break;
     case gpCrashNovelty::Confirmed:
       recent_.Confirm(aCrash.target_, aCrash.number_);
@@ -40,12 +43,13 @@
 
 void
 gpCrashMonitor::ContainQueues(const gpTargetCrash& aCrash,
-                              const gpServiceName& aService,
                               gpTime aNow,
                               gpLeaseEffects& aOut)
 {
-  for (const gpContainedQueue& queue :
-       containment_.NoteCrash(aCrash, aService, aNow)) {
+  if (aCrash.service_.value_.empty()) {
+    return;
+  }
+  for (const gpContainedQueue& queue : containment_.NoteCrash(aCrash, aNow)) {
     WriteQueue(gpEventKind::QueueContained, queue, aOut);
   }
   const std::set<gpQueueName> suspected = gpSuspectedQueues(aCrash);
@@ -56,7 +60,7 @@
   // If other queues are suspected too, the task may have been suspected twice
   // by chance.
   if (isDeadly && suspected.size() == 1) {
-    Adopt({ { *suspected.begin(), aService } }, aNow, aOut);
+    Adopt({ { *suspected.begin(), aCrash.service_ } }, aNow, aOut);
   }
 }
 
--- a/Source/Lease/gpCrashMonitor.h
+++ b/Source/Lease/gpCrashMonitor.h
@@ -14,14 +14,11 @@
 class gpCrashMonitor
 {
 public:
-  /// A guard or another entry told of a crash. Returns what is new about it.
-  gpCrashNovelty Learn(const gpTargetCrash& aCrash, gpTime aNow);
-  /// Contains the queues whose tasks have probably caused the crash, which a
-  /// guard of the service has reported.
-  void ContainQueues(const gpTargetCrash& aCrash,
-                     const gpServiceName& aService,
-                     gpTime aNow,
-                     gpLeaseEffects& aOut);
+  /// A guard or another entry told of a crash. Contains the queues whose tasks
+  /// have probably caused it. Returns what is new about the crash.
+  gpCrashNovelty Learn(const gpTargetCrash& aCrash,
+                       gpTime aNow,
+                       gpLeaseEffects& aOut);
   /// Contains the queues that another entry contains.
   void Adopt(const std::vector<gpContainedQueue>& aQueues,
              gpTime aNow,
@@ -41,6 +38,10 @@
   /// How long an entry that links later is told of a crash.
   static constexpr gpMillis kKeepTime{ 60000 };
 
+  void ContainQueues(const gpTargetCrash& aCrash,
+                     gpTime aNow,
+                     gpLeaseEffects& aOut);
+
   gpCrashLedger ledger_;
   gpQueueContainment containment_;
   gpRecentCrashes recent_{ kKeepTime };
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -347,10 +347,7 @@
     return;
   }
   for (const gpTargetCrash& crash : aMessage.crashes_) {
-    if (LearnCrash(crash)) {
-      targetTable_.NoteCrash(guard->second);
-      crashes_.ContainQueues(crash, aMessage.service_, now_, out_);
-    }
+    LearnCrash(crash);
   }
   targetTable_.OnTargetUpdate(guard->second, aMessage);
   dispatcher_.Dispatch(now_, out_);
@@ -377,12 +374,11 @@
   crashes_.Adopt(aMessage.contained_, now_, out_);
 }
 
-bool
+void
 gpLeaseEntryReducer::LearnCrash(const gpTargetCrash& aCrash)
 {
-  const gpCrashNovelty novelty = crashes_.Learn(aCrash, now_);
-  if (novelty == gpCrashNovelty::Known) {
-    return false;
+  if (crashes_.Learn(aCrash, now_, out_) == gpCrashNovelty::Known) {
+    return;
   }
   peers_.Forward(aCrash);
   const gpCrashLedger& ledger = crashes_.GetLedger();
@@ -395,7 +391,6 @@
                                    : gpLeaseReason::TaskSuspected);
     }
   }
-  return novelty == gpCrashNovelty::New;
 }
 
 void
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -98,8 +98,8 @@
   void EndJob(gpLeaseRecord& aJob, const gpLeaseAnswer& aAnswer);
   void FailJob(gpLeaseRecord& aJob, gpLeaseReason aReason);
   /// Counts a crash of a target, tells the other entries of it, and fails the
-  /// jobs that have to be given up. Returns whether the crash is new.
-  bool LearnCrash(const gpTargetCrash& aCrash);
+  /// jobs that have to be given up.
+  void LearnCrash(const gpTargetCrash& aCrash);
   void OnTaskDone(gpLeaseRecord& aJob, std::size_t aTask);
   /// A run ended without completing its task: places the task again, or fails
   /// the job if its attempts are used up.
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -436,6 +436,7 @@
   const gpMicros ago = now_ - crashDetector_.GetCrashTime();
   gpTargetCrash crash;
   crash.target_ = aTarget;
+  crash.service_ = options_.service_;
   crash.number_ = ++lastCrash_;
   crash.confirmed_ = aConfirmed;
   crash.queues_ = crashDetector_.ListQueues();
--- a/Source/Lease/gpQueueContainment.cxx
+++ b/Source/Lease/gpQueueContainment.cxx
@@ -7,15 +7,15 @@
 namespace {
 
 constexpr double kPermille = 1000;
-/// Sum of the weights of crashes from which a queue is contained: by chance,
-/// such a sum is reached in one of 15 sequences of crashes.
+/// Sum of the weights of crashes from which a queue is contained: such crashes
+/// are about 15 times more likely if its tasks are the cause than by chance.
 const double kContainScore = std::log(15.0);
 /// Largest weight of one crash, so that at least two are needed.
 const double kMostWeight = std::log(4.0);
 /// Weight of a crash without a suspected task of the queue.
 constexpr double kOtherCauseWeight = 1.0;
 /// A queue that was released is contained again after one more crash.
-const double kReleasedScore = kContainScore - 0.5;
+const double kReleasedScore = kContainScore - std::log(1.6);
 /// Time constant in which a suspicion decays.
 constexpr double kDecaySeconds = 10.0;
 /// Crashes within this time have one cause.
@@ -69,9 +69,7 @@
 }
 
 std::vector<gpContainedQueue>
-gpQueueContainment::NoteCrash(const gpTargetCrash& aCrash,
-                              const gpServiceName& aService,
-                              gpTime aNow)
+gpQueueContainment::NoteCrash(const gpTargetCrash& aCrash, gpTime aNow)
 {
   const bool isSameCause =
     lastCrashAt_ != gpTime{} && aNow - lastCrashAt_ < kSameCause;
@@ -82,7 +80,7 @@
   Weigh(aCrash, aNow);
   std::vector<gpContainedQueue> contained;
   for (const auto& [queue, suspicion] : suspicions_) {
-    const gpContainedQueue candidate{ queue, aService };
+    const gpContainedQueue candidate{ queue, aCrash.service_ };
     if (suspicion.score_ >= kContainScore && Contain(candidate, aNow)) {
       contained.push_back(candidate);
     }
--- a/Source/Lease/gpQueueContainment.h
+++ b/Source/Lease/gpQueueContainment.h
@@ -31,10 +31,9 @@
 class gpQueueContainment
 {
 public:
-  /// A guard reported a crash of its target, which belongs to the service.
-  /// Returns the queues that are contained from now on.
+  /// A guard reported a crash of its target. Returns the queues that are
+  /// contained from now on.
   std::vector<gpContainedQueue> NoteCrash(const gpTargetCrash& aCrash,
-                                          const gpServiceName& aService,
                                           gpTime aNow);
   /// Contains the queue without a test. Returns true if it's contained from now
   /// on.
--- a/Source/Lease/gpTargetTable.cxx
+++ b/Source/Lease/gpTargetTable.cxx
@@ -97,6 +97,13 @@
            : kLateMs + estimate * aView.slowness_;
 }
 
+/// Number of the last crash of which the update tells; 0 if of none.
+std::uint64_t
+LastCrashOf(const gpTargetUpdate& aUpdate)
+{
+  return aUpdate.crashes_.empty() ? 0 : aUpdate.crashes_.back().number_;
+}
+
 gpEjectionSettings
 EjectionSettings()
 {
@@ -177,6 +184,11 @@
   if (view == nullptr) {
     return;
   }
+  if (LastCrashOf(aUpdate) > LastCrashOf(view->update_)) {
+    // What is known of the health is about an incarnation that has ended.
+    view->health_ = gpTargetHealth();
+    view->lastFailedJob_.clear();
+  }
   const bool isMoved = view->update_.service_ != aUpdate.service_;
   view->update_ = aUpdate;
   fastest_.clear();
@@ -421,15 +433,6 @@
   }
 }
 
-void
-gpTargetTable::NoteCrash(gpIncarnation aGuard)
-{
-  if (gpTargetView* view = Find(aGuard)) {
-    view->health_ = gpTargetHealth();
-    view->lastFailedJob_.clear();
-  }
-}
-
 bool
 gpTargetTable::HasTarget(const gpServiceName& aService,
                          gpPlacementScope aScope) const
--- a/Source/Lease/gpTargetTable.h
+++ b/Source/Lease/gpTargetTable.h
@@ -161,10 +161,6 @@
                  const gpRunReport& aReport,
                  gpTime aNow);
 
-  /// The target has crashed: what was known of its health is about an
-  /// incarnation that has ended.
-  void NoteCrash(gpIncarnation aGuard);
-
   /// Whether any target of the service accepts work.
   bool HasTarget(const gpServiceName& aService, gpPlacementScope aScope) const;
   /// Whether any target of the service has the capacity for the task when it's
--- a/Source/Model/gpCrashMessages.h
+++ b/Source/Model/gpCrashMessages.h
@@ -59,6 +59,8 @@
 {
   /// ID of the target.
   std::string target_;
+  /// Service of the target. Empty if the guard is of an older version.
+  gpServiceName service_;
   /// Tells the crashes of a target apart; increases with each.
   std::uint64_t number_ = 0;
   /// Whether it's certain that the target has crashed, as its next incarnation
--- a/Source/Wire/gpWireRuns.cxx
+++ b/Source/Wire/gpWireRuns.cxx
@@ -140,8 +140,9 @@
   const auto target = aBuilder.CreateString(aIn.target_);
   const auto runs = gpWriteTables(aBuilder, aIn.runs_);
   const auto queues = gpWriteTables(aBuilder, aIn.queues_);
+  const auto service = aBuilder.CreateString(aIn.service_.value_);
   return gpWire::CreateTargetCrash(
-    aBuilder, target, aIn.number_, aIn.confirmed_, runs, queues);
+    aBuilder, target, aIn.number_, aIn.confirmed_, runs, queues, service);
 }
 
 bool
@@ -152,6 +153,8 @@
   aOut.number_ = aIn->number();
   aOut.confirmed_ = aIn->confirmed();
   return aReader.Read(aIn->target(), aOut.target_) &&
+         (aIn->service() == nullptr ||
+          aReader.Read(aIn->service(), aOut.service_)) &&
          aReader.ReadTables(aIn->runs(), aOut.runs_) &&
          aReader.ReadTables(aIn->queues(), aOut.queues_);
 }
--- a/Source/Wire/gpWire_generated.h
+++ b/Source/Wire/gpWire_generated.h
@@ -3997,7 +3997,8 @@
     VT_NUMBER = 6,
     VT_CONFIRMED = 8,
     VT_RUNS = 10,
-    VT_QUEUES = 12
+    VT_QUEUES = 12,
+    VT_SERVICE = 14
   };
   const flatbuffers::String *target() const {
     return GetPointer<const flatbuffers::String *>(VT_TARGET);
@@ -4014,6 +4015,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<gpWire::QueueActivity>> *queues() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::QueueActivity>> *>(VT_QUEUES);
   }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_TARGET) &&
@@ -4026,6 +4030,8 @@
            VerifyOffsetRequired(verifier, VT_QUEUES) &&
            verifier.VerifyVector(queues()) &&
            verifier.VerifyVectorOfTables(queues()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
            verifier.EndTable();
   }
 };
@@ -4049,6 +4055,9 @@
   void add_queues(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::QueueActivity>>> queues) {
     fbb_.AddOffset(TargetCrash::VT_QUEUES, queues);
   }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(TargetCrash::VT_SERVICE, service);
+  }
   explicit TargetCrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4069,9 +4078,11 @@
     uint64_t number = 0,
     bool confirmed = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::LostRun>>> runs = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::QueueActivity>>> queues = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::QueueActivity>>> queues = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0) {
   TargetCrashBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_service(service);
   builder_.add_queues(queues);
   builder_.add_runs(runs);
   builder_.add_target(target);
@@ -4090,17 +4101,20 @@
     uint64_t number = 0,
     bool confirmed = false,
     const std::vector<flatbuffers::Offset<gpWire::LostRun>> *runs = nullptr,
-    const std::vector<flatbuffers::Offset<gpWire::QueueActivity>> *queues = nullptr) {
+    const std::vector<flatbuffers::Offset<gpWire::QueueActivity>> *queues = nullptr,
+    const char *service = nullptr) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto runs__ = runs ? _fbb.CreateVector<flatbuffers::Offset<gpWire::LostRun>>(*runs) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<gpWire::QueueActivity>>(*queues) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
   return gpWire::CreateTargetCrash(
       _fbb,
       target__,
       number,
       confirmed,
       runs__,
-      queues__);
+      queues__,
+      service__);
 }
 
 struct TargetNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/Lease/testCrashes.cxx
+++ b/Tests/Lease/testCrashes.cxx
@@ -52,6 +52,7 @@
 MakeCrash(std::uint64_t aNumber, const std::string& aTask, bool aIsSuspected)
 {
   return { "target",
+           kService,
            aNumber,
            true,
            { { { aTask, aNumber }, kQueue, aIsSuspected, true } },
@@ -71,14 +72,14 @@
   /// have started last.
   void Add(const std::set<gpQueueName>& aSuspected, std::uint32_t aChance)
   {
-    gpTargetCrash crash{ "target", ++number_, true, {}, {} };
+    gpTargetCrash crash{ "target", kService, ++number_, true, {}, {} };
     for (const gpQueueName& queue : { kQueue, kOtherQueue }) {
       const gpRunId run{ queue.value_ + ".0.0.0", number_ };
       crash.runs_.push_back({ run, queue, aSuspected.contains(queue), true });
       crash.queues_.push_back({ queue, aChance });
     }
     now_ += pause_;
-    containment_.NoteCrash(crash, kService, now_);
+    containment_.NoteCrash(crash, now_);
   }
 
   /// Passes time in which targets for contained queues are up or not.
@@ -294,13 +295,12 @@
   detector.NoteStart(gpQueueName(), kStart);
   detector.NoteReply(gpOrderReply::Accepted, kStart);
   detector.NoteReply(gpOrderReply::NotSent, kStart + gpMillis(10));
-  gpTargetCrash crash{ "target", 0, true, {}, detector.ListQueues() };
+  gpTargetCrash crash{ "target", kService, 0, true, {}, detector.ListQueues() };
   crash.runs_ = detector.TakeLostRuns(runs);
   BOOST_REQUIRE(crash.runs_.front().suspected_);
   gpQueueContainment containment;
   for (int second = 0; second < 4; ++second) {
-    containment.NoteCrash(
-      crash, kService, kStart + std::chrono::seconds(second));
+    containment.NoteCrash(crash, kStart + std::chrono::seconds(second));
   }
   BOOST_TEST(!containment.IsInForce());
 }
--- a/Tests/Lease/testLeaseEntry.cxx
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -2,6 +2,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "gpLeaseEntryReducer.h"
@@ -59,6 +61,20 @@
   return job;
 }
 
+/// A crash of the target shortly after the start of the run, whose queue seldom
+/// starts tasks there.
+gpTargetCrash
+MakeCrash(std::uint64_t aNumber, bool aConfirmed, const gpRunId& aRun)
+{
+  constexpr std::uint32_t kSmallChance = 100;
+  return { "target",
+           kService,
+           aNumber,
+           aConfirmed,
+           { { aRun, kQueue, true, true } },
+           { { kQueue, kSmallChance } } };
+}
+
 /// An entry with one guard, whose target has capacity for one task.
 class EntryWithGuard
 {
@@ -88,6 +104,11 @@
             ordered_.end(), order->runs_.begin(), order->runs_.end());
         }
       }
+      if (const auto* write = std::get_if<gpWriteTimeline>(&effect)) {
+        if (write->event_.kind_ == gpEventKind::QueueContained) {
+          contained_.insert(write->event_.detail_);
+        }
+      }
       if (const auto* wake = std::get_if<gpWakeAt>(&effect)) {
         wakeAt_ = wake->when_;
       }
@@ -114,6 +135,16 @@
     Feed(gpTimePassed{});
   }
 
+  /// A job is submitted, and its run is refused as the target doesn't answer.
+  void FailJob(std::uint64_t aJob)
+  {
+    Feed(
+      gpLeaseJobSubmitted{ gpRequestId(aJob), MakeJob(std::to_string(aJob)) });
+    EndRun(gpRunEnd::Unhealthy);
+    Feed(gpMessageReceived{
+      kLink, gpCapacityReport{ { 1000, 0, 0 }, ordered_.size() } });
+  }
+
   /// The guard reports the end of the run ordered last.
   void EndRun(gpRunEnd aEnd)
   {
@@ -127,11 +158,7 @@
   {
     gpTargetUpdate update = MakeUpdate();
     update.takesWork_ = false;
-    update.crashes_ = { { "target",
-                          aNumber,
-                          aConfirmed,
-                          { { ordered_.back(), kQueue, true, true } },
-                          {} } };
+    update.crashes_ = { MakeCrash(aNumber, aConfirmed, ordered_.back()) };
     Feed(gpMessageReceived{ kLink, update });
     EndRun(gpRunEnd::Stopped);
     update.takesWork_ = true;
@@ -142,6 +169,7 @@
 
   std::map<gpRequestId, gpLeaseAnswer> answers_;
   std::vector<gpRunId> ordered_;
+  std::set<std::string> contained_;
   bool connectionsClosed_ = false;
   bool stopped_ = false;
 
@@ -324,8 +352,7 @@
   gpEntryUpdate update;
   for (const std::uint64_t number : { 1, 2 }) {
     const gpRunId run{ "deadly.0.0.0", number };
-    update.crashes_.push_back(
-      { "target", number, true, { { run, kQueue, true, true } }, {} });
+    update.crashes_.push_back(MakeCrash(number, true, run));
   }
   entry.Feed(gpMessageReceived{ gpLinkId(2), update });
   entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("deadly") });
@@ -335,6 +362,38 @@
   BOOST_TEST(entry.ordered_.empty());
 }
 
+// Guards against an entry that contains a queue only if the guard's report of a
+// crash arrives before that of a peer, or if the guard is linked with it.
+BOOST_AUTO_TEST_CASE(AnEntryContainsAQueueForCrashesThatPeersReport)
+{
+  EntryWithGuard entry;
+  for (const std::uint64_t number : { 1, 2, 3 }) {
+    gpEntryUpdate update;
+    const gpRunId run{ std::to_string(number) + ".0.0.0", number };
+    update.crashes_.push_back(MakeCrash(number, true, run));
+    entry.Pass(gpMillis(300));
+    entry.Feed(gpMessageReceived{ gpLinkId(2), update });
+  }
+  BOOST_TEST((entry.contained_ == std::set<std::string>{ kQueue.value_ }));
+}
+
+// Guards against a target that gets no work after its return, as a peer's
+// report of its crash has arrived before that of the guard.
+BOOST_AUTO_TEST_CASE(ACrashedTargetIsUsedAtOnceIfAPeerReportedItsCrashFirst)
+{
+  EntryWithGuard entry;
+  for (std::uint64_t job = 1; job <= 3; ++job) {
+    entry.FailJob(job);
+  }
+  const std::size_t before = entry.ordered_.size();
+  gpEntryUpdate update;
+  update.crashes_.push_back(MakeCrash(1, false, entry.ordered_.back()));
+  entry.Feed(gpMessageReceived{ gpLinkId(2), update });
+  entry.CrashTarget(1, false);
+  entry.Pass(gpMillis(1));
+  BOOST_TEST(entry.ordered_.size() > before);
+}
+
 // Guards against a job that is shown as failed after a loss of its target that
 // was no crash, such as a cut of its connections.
 BOOST_AUTO_TEST_CASE(AJobIsNotShownAsFailedWhileItsCrashesAreUncertain)
@@ -361,11 +420,7 @@
 {
   EntryWithGuard entry;
   for (std::uint64_t job = 1; job <= 3; ++job) {
-    entry.Feed(
-      gpLeaseJobSubmitted{ gpRequestId(job), MakeJob(std::to_string(job)) });
-    entry.EndRun(gpRunEnd::Unhealthy);
-    entry.Feed(gpMessageReceived{
-      kLink, gpCapacityReport{ { 1000, 0, 0 }, entry.ordered_.size() } });
+    entry.FailJob(job);
   }
   const std::size_t before = entry.ordered_.size();
   entry.CrashTarget(1, false);
