Entry: Weigh crashes in a row, however fast they follow

What could happen: on a large fleet whose targets crash at less than 10 ms from each other, no queue is ever contained.

Cause: crashes within 10 ms count once, as they have one cause such as the power of a rack; but the time ran from the last crash instead of the first one with that cause. Class of fault: a debounce that a steady input keeps from firing.

Evidence: ManyCrashesInARowCountMoreThanOnce failed before.

--- a/Source/Lease/gpQueueContainment.cxx
+++ b/Source/Lease/gpQueueContainment.cxx
@@ -18,7 +18,7 @@
 const double kReleasedScore = kContainScore - std::log(1.6);
 /// Time constant in which a suspicion decays.
 constexpr double kDecaySeconds = 10.0;
-/// Crashes within this time have one cause.
+/// Crashes within this time after the first of them have one cause.
 constexpr gpMillis kSameCause{ 10 };
 /// A contained queue is released after this time without a suspected crash.
 constexpr gpMillis kReleaseAfter{ 4000 };
@@ -72,11 +72,11 @@
 gpQueueContainment::NoteCrash(const gpTargetCrash& aCrash, gpTime aNow)
 {
   const bool isSameCause =
-    lastCrashAt_ != gpTime{} && aNow - lastCrashAt_ < kSameCause;
-  lastCrashAt_ = aNow;
+    weighedAt_ != gpTime{} && aNow - weighedAt_ < kSameCause;
   if (IsExplained(gpSuspectedQueues(aCrash)) || isSameCause) {
     return {};
   }
+  weighedAt_ = aNow;
   Weigh(aCrash, aNow);
   std::vector<gpContainedQueue> contained;
   for (const auto& [queue, suspicion] : suspicions_) {
--- a/Source/Lease/gpQueueContainment.h
+++ b/Source/Lease/gpQueueContainment.h
@@ -78,5 +78,6 @@
 
   std::map<gpQueueName, Suspicion> suspicions_;
   std::map<gpQueueName, Containment> contained_;
-  gpTime lastCrashAt_;
+  /// The last crash that was weighed.
+  gpTime weighedAt_;
 };
--- a/Tests/Lease/testCrashes.cxx
+++ b/Tests/Lease/testCrashes.cxx
@@ -305,6 +305,17 @@
   BOOST_TEST(!containment.IsInForce());
 }
 
+// Guards against a large fleet in which targets crash so often that each crash
+// seems to have the cause of the one before.
+BOOST_AUTO_TEST_CASE(ManyCrashesInARowCountMoreThanOnce)
+{
+  Crashes crashes(gpMillis(8));
+  for (int crash = 0; crash < 20; ++crash) {
+    crashes.Add({ kQueue }, kSmallChance);
+  }
+  BOOST_TEST(crashes.IsContained(kQueue));
+}
+
 // A contained queue goes on crashing targets, where tasks of others may run.
 BOOST_AUTO_TEST_CASE(CrashesOfAContainedQueueAreNotHeldAgainstOthers)
 {
