Entry: Count each run that was lost in a crash once

What could happen: a job is shown as failed after one certain crash, which breaks LOST, or given up after two.

Cause: runs that were lost stay in the guard's table until the next incarnation under the same ID has shown that they don't run. If that one crashes first, they are named again, and counted as if the task had been started again. Class of fault: reports are counted instead of what they report.

Now the count is of the numbers of the lost runs.

Evidence: ARunIsLostOnlyOnce failed before.

--- a/Source/Lease/gpCrashLedger.cxx
+++ b/Source/Lease/gpCrashLedger.cxx
@@ -9,16 +9,16 @@
 /// A task is given up after it was suspected of this many crashes. The first
 /// may have had another cause: other runs started at the same time, or the
 /// target would have failed without it.
-constexpr std::uint32_t kMostSuspected = 2;
+constexpr std::size_t kMostSuspected = 2;
 /// A task is given up after this many crashes, even if it had always run for
 /// long. The platform allows two more starts, so two crashes may be missed.
-constexpr std::uint32_t kMostCrashes = 3;
+constexpr std::size_t kMostCrashes = 3;
 /// Two crashes under one task are unlikely to be chance, so that it is
 /// suspected even if it had always run for long.
-constexpr std::uint32_t kMostCleared = 1;
+constexpr std::size_t kMostCleared = 1;
 /// The platform allows a job to be shown as failed after two crashes under a
 /// task.
-constexpr std::uint32_t kLeastCertain = 2;
+constexpr std::size_t kLeastCertain = 2;
 /// How long a crash is remembered. Callers submit a job again within seconds.
 constexpr gpMillis kKeepTime{ 120000 };
 /// Limits the memory when many targets crash.
@@ -27,15 +27,15 @@
 } // namespace
 
 bool
-gpCrashLedger::Count::IsSuspected() const
+gpCrashLedger::LostRuns::IsSuspected() const
 {
-  return suspected_ > 0 || crashes_ > kMostCleared;
+  return !suspected_.empty() || all_.size() > kMostCleared;
 }
 
 bool
-gpCrashLedger::Count::IsWithheld() const
+gpCrashLedger::LostRuns::IsWithheld() const
 {
-  return suspected_ >= kMostSuspected || crashes_ >= kMostCrashes;
+  return suspected_.size() >= kMostSuspected || all_.size() >= kMostCrashes;
 }
 
 gpCrashNovelty
@@ -53,10 +53,14 @@
   for (const gpLostRun& run : aCrash.runs_) {
     Job& job = jobs_[gpJobOfTask(run.run_.task_)];
     job.crashedAt_ = aNow;
-    Count& count = job.tasks_[run.run_.task_];
-    count.crashes_ += isNew ? 1 : 0;
-    count.suspected_ += isNew && run.suspected_ ? 1 : 0;
-    count.certain_ += isConfirmed && run.started_ ? 1 : 0;
+    LostRuns& lost = job.tasks_[run.run_.task_];
+    lost.all_.insert(run.run_.number_);
+    if (run.suspected_) {
+      lost.suspected_.insert(run.run_.number_);
+    }
+    if (isConfirmed && run.started_) {
+      lost.certain_.insert(run.run_.number_);
+    }
   }
   return isNew ? gpCrashNovelty::New : gpCrashNovelty::Confirmed;
 }
@@ -78,7 +82,7 @@
   }
 }
 
-const gpCrashLedger::Count*
+const gpCrashLedger::LostRuns*
 gpCrashLedger::Find(const std::string& aTask) const
 {
   const auto job = jobs_.empty() ? jobs_.end() : jobs_.find(gpJobOfTask(aTask));
@@ -92,22 +96,22 @@
 bool
 gpCrashLedger::IsSuspected(const std::string& aTask) const
 {
-  const Count* count = Find(aTask);
-  return count != nullptr && count->IsSuspected();
+  const LostRuns* lost = Find(aTask);
+  return lost != nullptr && lost->IsSuspected();
 }
 
 bool
 gpCrashLedger::IsCleared(const std::string& aTask) const
 {
-  const Count* count = Find(aTask);
-  return count != nullptr && !count->IsSuspected();
+  const LostRuns* lost = Find(aTask);
+  return lost != nullptr && !lost->IsSuspected();
 }
 
 bool
 gpCrashLedger::IsDeadly(const std::string& aTask) const
 {
-  const Count* count = Find(aTask);
-  return count != nullptr && count->suspected_ >= kMostSuspected;
+  const LostRuns* lost = Find(aTask);
+  return lost != nullptr && lost->suspected_.size() >= kMostSuspected;
 }
 
 bool
@@ -130,6 +134,6 @@
                      job->second.tasks_.end(),
                      [](const auto& aTask) {
                        return aTask.second.IsWithheld() &&
-                              aTask.second.certain_ >= kLeastCertain;
+                              aTask.second.certain_.size() >= kLeastCertain;
                      });
 }
--- a/Source/Lease/gpCrashLedger.h
+++ b/Source/Lease/gpCrashLedger.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -48,12 +49,15 @@
   bool IsGivenUp(const std::string& aJob) const;
 
 private:
-  struct Count
+  /// The runs of a task that were lost in crashes, by their numbers. A guard
+  /// may name a run again, if the next incarnation of its target crashes before
+  /// it has answered.
+  struct LostRuns
   {
-    std::uint32_t crashes_ = 0;
-    std::uint32_t suspected_ = 0;
-    /// Confirmed crashes of targets that had confirmed the start of the task.
-    std::uint32_t certain_ = 0;
+    std::set<std::uint64_t> all_;
+    std::set<std::uint64_t> suspected_;
+    /// In confirmed crashes, of targets that had confirmed the start.
+    std::set<std::uint64_t> certain_;
 
     bool IsSuspected() const;
     /// Whether the task must not be started any more.
@@ -68,12 +72,12 @@
   {
     gpTime crashedAt_;
     /// By the name of the task.
-    std::map<std::string, Count> tasks_;
+    std::map<std::string, LostRuns> tasks_;
   };
 
   void DropOld(gpTime aNow);
   /// Null if the task was never lost in a crash.
-  const Count* Find(const std::string& aTask) const;
+  const LostRuns* Find(const std::string& aTask) const;
 
   /// By the ID of the job.
   std::map<std::string, Job> jobs_;
--- a/Tests/Lease/testCrashes.cxx
+++ b/Tests/Lease/testCrashes.cxx
@@ -247,6 +247,24 @@
   BOOST_TEST(!ledger.IsGivenUp("job"));
 }
 
+// Runs that were lost stay in the guard's table until the next incarnation of
+// the target has shown that they don't run. Guards against a second crash
+// meanwhile that counts as one under the same tasks.
+BOOST_AUTO_TEST_CASE(ARunIsLostOnlyOnce)
+{
+  gpCrashLedger ledger;
+  gpTargetCrash crash = MakeCrash(1, "job.0.0.0", true);
+  ledger.Add(crash, kStart);
+  crash.number_ = 2;
+  ledger.Add(crash, kStart);
+  BOOST_TEST(!ledger.IsWithheld("job"));
+  gpTargetCrash uncertain = MakeCrash(3, "job.0.0.0", true);
+  uncertain.confirmed_ = false;
+  ledger.Add(uncertain, kStart);
+  BOOST_TEST(ledger.IsWithheld("job"));
+  BOOST_TEST(!ledger.IsGivenUp("job"));
+}
+
 // Guards against a job that is shown as failed although no target has crashed
 // under it: the target was cut off, or its task had not started.
 BOOST_AUTO_TEST_CASE(AJobIsGivenUpOnlyAfterTwoCertainCrashes)
