Guard: Use a capacity only for some seconds after its heartbeat

What could happen: a start brings a target that doesn't guard its capacity over it (LIMIT). The heartbeats of a target fail for a while, as its guard answers them too late, and its capacity shrinks meanwhile.

Cause: the capacity that the last heartbeat has told was used without a limit in time. Class of fault: stored state is used as if it were current, as after a restart of the guard.

Now it's used for four seconds, which covers the loss of one heartbeat. Targets that guard their capacity themselves are used as before.

Evidence: ACapacityIsNotUsedForLongAfterTheLastHeartbeat failed before.

--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -21,6 +21,9 @@
 /// the process runs, CheckPause can take a longer gap for a suspension of the
 /// process.
 constexpr gpMillis kTick{ 50 };
+/// How long after a heartbeat the capacity that it has told may be used. Covers
+/// two heartbeat periods; the platform allows another period more.
+constexpr gpMillis kCapacityLifetime{ 4000 };
 /// How long an entry that links with the guard is told of a crash.
 constexpr gpMillis kCrashKeepTime{ 10000 };
 
@@ -80,13 +83,20 @@
   stopper_.StopAll(now_, out_);
 }
 
+bool
+gpLeaseGuardReducer::IsCapacityCurrent() const
+{
+  return capacityToldAt_.has_value() &&
+         now_ - *capacityToldAt_ < kCapacityLifetime;
+}
+
 bool
 gpLeaseGuardReducer::TakesWork() const
 {
   return target_.IsKnown() && target_.IsConfirmed() &&
          pollSchedule_.HasAnswer() && !stopper_.HasUnknownRuns() &&
          !target_.IsLeaving() && !target_.IsSilent(now_) &&
-         (isCapacityCurrent_ || capacityEnforced_) &&
+         (capacityEnforced_ || IsCapacityCurrent()) &&
          shutdownEnd_ == gpTime::max();
 }
 
@@ -136,7 +146,7 @@
 gpLeaseGuardReducer::OnMessage(gpLinkId aLink, const gpRunOrder& aMessage)
 {
   capacityEnforced_ = aMessage.capacityEnforced_;
-  if (isCapacityCurrent_) {
+  if (capacityToldAt_.has_value()) {
     UpdateRecord();
   }
   for (const gpRunId& run : aMessage.runs_) {
@@ -273,7 +283,7 @@
     return;
   }
   Announce(aEvent.target_);
-  isCapacityCurrent_ = true;
+  capacityToldAt_ = now_;
   UpdateRecord();
 }
 
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -86,6 +86,9 @@
   /// kLongestPause or longer, as its entries may already have closed the links
   /// and count the runs as ended.
   void CheckPause();
+  /// Whether the target's capacity is known well enough to fill it, if the
+  /// target itself doesn't refuse what doesn't fit: it may shrink at any time.
+  bool IsCapacityCurrent() const;
   bool TakesWork() const;
   void StartOne(gpLinkId aLink, const gpRunOrder& aOrder, const gpRunId& aRun);
   /// The call to start the run ended.
@@ -145,9 +148,9 @@
   std::optional<gpTargetRecord> record_;
   /// Whether the target itself refuses what doesn't fit, by the last order.
   bool capacityEnforced_ = false;
-  /// Whether a heartbeat has told this process the target's capacity. The one
-  /// in the store may have shrunk since.
-  bool isCapacityCurrent_ = false;
+  /// When a heartbeat has told the target's capacity last; not set if it's
+  /// known from the store alone.
+  std::optional<gpTime> capacityToldAt_;
   std::uint64_t seenEnds_ = 0;
   /// Number of the last crash of the target, see gpTargetCrash.
   std::uint64_t lastCrash_;
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -285,6 +285,32 @@
   BOOST_TEST(guard.starts_ == 1);
 }
 
+// Guards against a start that brings a target over its capacity, which has
+// shrunk since the last heartbeat that reached the guard.
+BOOST_AUTO_TEST_CASE(ACapacityIsNotUsedForLongAfterTheLastHeartbeat)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun(false);
+  BOOST_TEST(guard.starts_ == 1);
+  guard.RunFor(gpMillis(4100), gpOrderReply::Accepted);
+  guard.StartRun(false);
+  BOOST_TEST(guard.starts_ == 1);
+  guard.Feed(gpHeartbeatReceived{ MakeTarget(2) });
+  guard.StartRun(false);
+  BOOST_TEST(guard.starts_ == 2);
+}
+
+BOOST_AUTO_TEST_CASE(ATargetThatEnforcesItsCapacityNeedsNoRecentHeartbeat)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun(true);
+  guard.RunFor(gpMillis(4100), gpOrderReply::Accepted);
+  guard.StartRun(true);
+  BOOST_TEST(guard.starts_ == 2);
+}
+
 // The configuration may have changed since the record was stored.
 BOOST_AUTO_TEST_CASE(AnOrderEndsTheUseOfARecordedCapacity)
 {
