Entry: Suspect only tasks of a contained queue where they explain a crash

What callers saw: of the jobs without a deadly task that are given up in the histories with faults, some had only started beside tasks of a queue that was known to crash targets.

Cause: the runs that started shortly before a crash were all suspected, whatever was known of their queues. Class of fault: what one part has found out isn't used by the other.

Now, if a contained queue explains a crash, its runs alone are suspected. All lost runs still count towards the limit of three.

--- a/Source/Lease/gpCrashMonitor.cxx
+++ b/Source/Lease/gpCrashMonitor.cxx
@@ -25,17 +25,27 @@
 
 } // namespace
 
+gpTargetCrash
+gpCrashMonitor::Suspect(gpTargetCrash aCrash) const
+{
+  const auto explains = [this](const gpLostRun& aRun) {
+    return containment_.Explains(aRun);
+  };
+  if (std::any_of(aCrash.runs_.begin(), aCrash.runs_.end(), explains)) {
+    for (gpLostRun& run : aCrash.runs_) {
+      run.suspected_ = explains(run);
+    }
+  }
+  return aCrash;
+}
+
 gpCrashNovelty
 gpCrashMonitor::Learn(const gpTargetCrash& aCrash,
                       gpTime aNow,
                       gpLeaseEffects& aOut)
 {
   recent_.DropOld(aNow);
-  gpTargetCrash counted = aCrash;
-  for (gpLostRun& run : counted.runs_) {
-    run.suspected_ = run.suspected_ || containment_.Explains(run);
-  }
-  const gpCrashNovelty novelty = ledger_.Add(counted, aNow);
+  const gpCrashNovelty novelty = ledger_.Add(Suspect(aCrash), aNow);
   switch (novelty) {
     case gpCrashNovelty::Known:
       break;
--- a/Source/Lease/gpCrashMonitor.h
+++ b/Source/Lease/gpCrashMonitor.h
@@ -38,6 +38,9 @@
   /// How long an entry that links later is told of a crash.
   static constexpr gpMillis kKeepTime{ 60000 };
 
+  /// The crash with other suspects, if a contained queue explains it: its tasks
+  /// alone.
+  gpTargetCrash Suspect(gpTargetCrash aCrash) const;
   void ContainQueues(const gpTargetCrash& aCrash,
                      gpTime aNow,
                      gpLeaseEffects& aOut);
--- a/Tests/Lease/testCrashes.cxx
+++ b/Tests/Lease/testCrashes.cxx
@@ -8,6 +8,7 @@
 
 #include "gpCrashDetector.h"
 #include "gpCrashLedger.h"
+#include "gpCrashMonitor.h"
 #include "gpQueueContainment.h"
 
 namespace {
@@ -427,6 +428,24 @@
   BOOST_TEST(!crashes.IsContained(kOtherQueue));
 }
 
+// Guards against an innocent task that is given up, as it starts at the same
+// target and time as tasks of a queue that is known to crash targets.
+BOOST_AUTO_TEST_CASE(ACrashThatAContainedQueueExplainsSuspectsNoOtherTask)
+{
+  gpCrashMonitor monitor;
+  gpLeaseEffects effects;
+  monitor.Adopt({ { kQueue, kService, gpMillis(0) } }, kStart, effects);
+  for (const std::uint64_t number : { 1, 2 }) {
+    gpTargetCrash crash =
+      MakeCrash(number, "deadly" + std::to_string(number) + ".0.0.0", true);
+    crash.runs_.push_back(
+      { { "innocent.0.0.0", number }, kOtherQueue, true, true, gpMillis(5) });
+    monitor.Learn(crash, kStart, effects);
+  }
+  BOOST_TEST(monitor.GetLedger().IsSuspected("deadly1.0.0.0"));
+  BOOST_TEST(!monitor.GetLedger().IsWithheld("innocent"));
+}
+
 BOOST_AUTO_TEST_CASE(AContainedQueueIsReleasedWhenItsTasksRunWithoutCrashes)
 {
   Crashes crashes;
