--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -24,8 +24,6 @@
 /// How long after a heartbeat the capacity that it has told may be used. Covers
 /// two heartbeat periods; the platform allows another period more.
 constexpr gpMillis kCapacityLifetime{ 4000 };
-/// How long an entry that links with the guard is told of a crash.
-constexpr gpMillis kCrashKeepTime{ 10000 };
 
 } // namespace
 
@@ -34,8 +32,7 @@
   , links_(options_.name_, options_.links_)
   , target_(options_.fence_)
   , stopper_(options_.service_, runs_, target_)
-  , crashes_(kCrashKeepTime)
-  , lastCrash_(options_.fence_)
+  , crashReporter_(options_.service_, runs_, target_, options_.fence_)
 {
 }
 
@@ -45,7 +42,7 @@
   now_ = aEvent.now_;
   CheckPause();
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
-  CheckCrash();
+  crashReporter_.Check(now_, out_);
   stopper_.Repeat(pollSchedule_.GetPause(), now_, out_);
   Poll();
   links_.Update(runs_, now_, out_);
@@ -201,7 +198,7 @@
     Refuse(aLink, aRun, gpRunEnd::Outdated);
     return;
   }
-  crashDetector_.NoteStart(aOrder.queue_, now_);
+  crashReporter_.NoteStart(aOrder.queue_, now_);
   WriteRun(gpEventKind::TaskAdmitted, aRun, "");
   out_.Add(gpStartRun{ target_.Get().id_,
                        aRun,
@@ -307,14 +304,14 @@
   const bool wasDraining = target_.IsKnown() && target_.Get().draining_;
   // If another incarnation has already answered, the end of this one is known.
   const auto earlier = target_.IsKnown() && target_.IsConfirmed()
-                         ? GetCrashableId()
+                         ? crashReporter_.GetCrashableId()
                          : std::nullopt;
   const bool isSameId = target_.IsKnown() && target_.Get().id_ == aTarget.id_;
   const bool isOther = target_.NoteHeartbeat(aTarget, now_);
   pollSchedule_.NoteHeartbeat(now_);
   runs_.SetCapacity(aTarget.capacity_);
   if (isOther) {
-    NoteRestart(earlier);
+    crashReporter_.NoteRestart(earlier, now_, out_);
     OnNewIncarnation(isSameId);
     WriteTarget(gpEventKind::TargetAnnounced, aTarget.id_);
   }
@@ -357,7 +354,7 @@
   if (gpGuardRun* run = runs_.Find(aEvent.run_)) {
     NoteStarted(*run, aEvent.reply_);
   }
-  crashDetector_.NoteReply(aEvent.reply_, now_);
+  crashReporter_.NoteReply(aEvent.reply_, now_);
 }
 
 void
@@ -404,69 +401,16 @@
     target_.RaiseFence();
   }
   stopper_.NoteReply(aEvent, now_);
-  crashDetector_.NoteReply(aEvent.reply_, now_);
-}
-
-std::optional<std::string>
-gpLeaseGuardReducer::GetCrashableId() const
-{
-  return target_.IsKnown() && !target_.IsLeaving()
-           ? std::optional(target_.Get().id_)
-           : std::nullopt;
-}
-
-void
-gpLeaseGuardReducer::CheckCrash()
-{
-  if (now_ < crashDetector_.GetReportTime()) {
-    return;
-  }
-  if (const auto target = GetCrashableId()) {
-    ReportCrash(*target, false);
-  } else {
-    crashDetector_.Restart();
-  }
-}
-
-void
-gpLeaseGuardReducer::NoteRestart(const std::optional<std::string>& aEarlier)
-{
-  if (aEarlier.has_value() && crashDetector_.IsUnreported()) {
-    ReportCrash(*aEarlier, true);
-  } else if (aEarlier.has_value()) {
-    // The target has not answered since the crash was reported.
-    crashes_.Confirm(*aEarlier, lastCrash_);
-  }
-  crashDetector_.Restart();
-}
-
-void
-gpLeaseGuardReducer::ReportCrash(const std::string& aTarget, bool aConfirmed)
-{
-  const gpMicros ago = now_ - crashDetector_.GetCrashTime();
-  gpTargetCrash crash;
-  crash.target_ = aTarget;
-  crash.service_ = options_.service_;
-  crash.number_ = ++lastCrash_;
-  crash.confirmed_ = aConfirmed;
-  crash.queues_ = crashDetector_.ListQueues();
-  crash.runs_ = crashDetector_.TakeLostRuns(runs_);
-  WriteTarget(gpEventKind::TargetCrashed, gpCrashText(crash, ago));
-  for (const gpLostRun& run : crash.runs_) {
-    if (run.suspected_) {
-      WriteRun(gpEventKind::TaskSuspected, run.run_, crash.target_);
-    }
-  }
-  crashes_.Add(std::move(crash), now_);
+  crashReporter_.NoteReply(aEvent.reply_, now_);
 }
 
 void
 gpLeaseGuardReducer::On(const gpPollReplied& aEvent)
 {
   target_.NoteClock(aEvent.clock_, now_);
-  const auto earlier = GetCrashableId();
+  const auto earlier = crashReporter_.GetCrashableId();
   if (target_.NoteStartTime(aEvent.startTime_)) {
-    NoteRestart(earlier);
+    crashReporter_.NoteRestart(earlier, now_, out_);
     WriteTarget(gpEventKind::TargetLeaving, "another incarnation answered");
     OnNewIncarnation(true);
   }
@@ -486,10 +430,10 @@
     if (aEvent.reply_ == gpOrderReply::NotSent) {
       target_.NoteUnreachable();
     }
-    crashDetector_.NoteReply(aEvent.reply_, now_);
+    crashReporter_.NoteReply(aEvent.reply_, now_);
     return;
   }
-  crashDetector_.NoteReply(aEvent.reply_, now_);
+  crashReporter_.NoteReply(aEvent.reply_, now_);
   target_.NoteAnswer(now_);
   pollSchedule_.NoteAnswered(aEvent.sentAt_, now_);
   for (const gpEndedRun& ended : aEvent.ended_) {
@@ -505,12 +449,12 @@
 void
 gpLeaseGuardReducer::On(const gpTimePassed&)
 {
-  crashes_.DropOld(now_);
+  crashReporter_.DropOld(now_);
   if (target_.IsSilent(now_) && !runs_.IsEmpty() &&
       target_.HasLeaseExpired(now_)) {
     WriteTarget(gpEventKind::TargetLeaving,
                 "no answer until its lease expired");
-    crashDetector_.NoteGivenUp(runs_);
+    crashReporter_.NoteGivenUp();
     FinishAll();
   }
 }
@@ -555,7 +499,7 @@
   update.service_ = options_.service_;
   update.dataCentre_ = options_.dataCentre_;
   update.takesWork_ = TakesWork();
-  update.crashes_ = crashes_.List();
+  update.crashes_ = crashReporter_.List();
   if (target_.IsKnown()) {
     update.labels_ = target_.Get().labels_;
     update.capacity_ = target_.Get().capacity_;
@@ -594,7 +538,7 @@
   }
   const gpTime updateAt = links_.GetNextUpdateTime(runs_.GetFree());
   when = std::min(when, std::max(updateAt, soonest));
-  when = std::min(when, std::max(crashDetector_.GetReportTime(), soonest));
+  when = std::min(when, std::max(crashReporter_.GetNext(), soonest));
   const gpTime stopAt = stopper_.GetNext(pollSchedule_.GetPause());
   when = std::min(when, std::max(stopAt, soonest));
   if (wakeAt_ <= now_ || when < wakeAt_) {
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -3,11 +3,10 @@
 #include <cstdint>
 #include <vector>
 
-#include "gpCrashDetector.h"
+#include "gpCrashReporter.h"
 #include "gpEntryLinks.h"
 #include "gpLeaseEvent.h"
 #include "gpPollSchedule.h"
-#include "gpRecentCrashes.h"
 #include "gpRunStopper.h"
 #include "gpRunTable.h"
 #include "gpTargetSession.h"
@@ -100,17 +99,6 @@
   /// Ends the runs that a poll sent at aSentAt would have listed if they were
   /// still running, but didn't.
   void FinishEnded(gpTime aSentAt, const std::vector<gpRunId>& aRunning);
-  /// ID of the known target, if it isn't leaving: its end would be a crash.
-  std::optional<std::string> GetCrashableId() const;
-  /// Reports a crash of the target, if its calls show one.
-  void CheckCrash();
-  /// Another incarnation than aEarlier was detected. Reports that the earlier
-  /// one has crashed, or that this is certain now. aEarlier isn't set if its
-  /// end was announced or is known.
-  void NoteRestart(const std::optional<std::string>& aEarlier);
-  /// Reports that the target has crashed. aConfirmed tells whether that's
-  /// certain.
-  void ReportCrash(const std::string& aTarget, bool aConfirmed);
   /// Another incarnation of the target was detected. Under another ID it can't
   /// have accepted orders of this guard, so all runs have ended. Under the same
   /// ID, orders sent last may have reached it, so all runs are stopped.
@@ -142,8 +130,7 @@
   gpRunStopper stopper_;
   gpPollSchedule pollSchedule_;
   gpTargetSpeed speed_;
-  gpCrashDetector crashDetector_;
-  gpRecentCrashes crashes_;
+  gpCrashReporter crashReporter_;
   /// The announcement in the store, if this process knows it.
   std::optional<gpTargetRecord> record_;
   /// Whether the target itself refuses what doesn't fit, by the last order.
@@ -152,8 +139,6 @@
   /// known from the store alone.
   std::optional<gpTime> capacityToldAt_;
   std::uint64_t seenEnds_ = 0;
-  /// Number of the last crash of the target, see gpTargetCrash.
-  std::uint64_t lastCrash_;
   gpTime lastEventAt_;
   gpTime wakeAt_;
   gpTime shutdownEnd_ = gpTime::max();
