Guard: Refute a crash when the target answers again

What could happen: a job is refused for two minutes, as its task is suspected of two crashes, though the targets were only cut off from their guards for a while.

Cause: a crash that is reported on a refused call is a suspicion; it was confirmed by the next incarnation, but never taken back. Class of fault: an inference from silence is kept when it has turned out wrong.

Now a poll that was sent after the report and is answered by the same incarnation refutes the crash. Guards and entries tell each other, and its runs no longer count. What it has added to the suspicion of a queue decays as before.

Evidence: ACrashIsRefutedWhenTheTargetAnswersAgain failed before.

--- a/Source/Lease/gpCrashLedger.cxx
+++ b/Source/Lease/gpCrashLedger.cxx
@@ -43,13 +43,25 @@
 {
   DropOld(aNow);
   const auto [found, isNew] = crashes_.try_emplace(
-    std::pair(aCrash.target_, aCrash.number_), Crash{ aNow, false });
+    std::pair(aCrash.target_, aCrash.number_), Crash{ aNow, aCrash.state_ });
   Crash& crash = found->second;
-  const bool isConfirmed = aCrash.confirmed_ && !crash.confirmed_;
-  if (!isNew && !isConfirmed) {
+  const bool isSettled = crash.state_ != gpCrashState::Suspected ||
+                         aCrash.state_ == gpCrashState::Suspected;
+  if (!isNew && isSettled) {
     return gpCrashNovelty::Known;
   }
-  crash.confirmed_ = aCrash.confirmed_;
+  crash.state_ = aCrash.state_;
+  if (crash.state_ == gpCrashState::Refuted) {
+    Forget(aCrash);
+    return gpCrashNovelty::Settled;
+  }
+  Count(aCrash, aNow);
+  return isNew ? gpCrashNovelty::New : gpCrashNovelty::Settled;
+}
+
+void
+gpCrashLedger::Count(const gpTargetCrash& aCrash, gpTime aNow)
+{
   for (const gpLostRun& run : aCrash.runs_) {
     Job& job = jobs_[gpJobOfTask(run.run_.task_)];
     job.crashedAt_ = aNow;
@@ -58,11 +70,26 @@
     if (run.suspected_) {
       lost.suspected_.insert(run.run_.number_);
     }
-    if (isConfirmed && run.started_) {
+    if (aCrash.state_ == gpCrashState::Confirmed && run.started_) {
       lost.certain_.insert(run.run_.number_);
     }
   }
-  return isNew ? gpCrashNovelty::New : gpCrashNovelty::Confirmed;
+}
+
+void
+gpCrashLedger::Forget(const gpTargetCrash& aCrash)
+{
+  for (const gpLostRun& run : aCrash.runs_) {
+    const auto job = jobs_.find(gpJobOfTask(run.run_.task_));
+    if (job == jobs_.end()) {
+      continue;
+    }
+    LostRuns& lost = job->second.tasks_[run.run_.task_];
+    if (!lost.certain_.contains(run.run_.number_)) {
+      lost.all_.erase(run.run_.number_);
+      lost.suspected_.erase(run.run_.number_);
+    }
+  }
 }
 
 void
--- a/Source/Lease/gpCrashLedger.h
+++ b/Source/Lease/gpCrashLedger.h
@@ -14,7 +14,7 @@
 {
   Known,
   New,
-  Confirmed, ///< the crash was known, but not that it's certain
+  Settled, ///< the crash was known, but not whether it's certain
 };
 
 /** \class gpCrashLedger
@@ -33,7 +33,7 @@
 class gpCrashLedger
 {
 public:
-  /// Counts a crash, and counts again when it's confirmed.
+  /// Counts a crash, and corrects the count when it's confirmed or refuted.
   gpCrashNovelty Add(const gpTargetCrash& aCrash, gpTime aNow);
   /// Whether the task may be the cause of a crash.
   bool IsSuspected(const std::string& aTask) const;
@@ -66,7 +66,7 @@
   struct Crash
   {
     gpTime notedAt_;
-    bool confirmed_ = false;
+    gpCrashState state_ = gpCrashState::Suspected;
   };
   struct Job
   {
@@ -75,6 +75,10 @@
     std::map<std::string, LostRuns> tasks_;
   };
 
+  /// Counts the runs that were lost.
+  void Count(const gpTargetCrash& aCrash, gpTime aNow);
+  /// Forgets the runs, which were not lost.
+  void Forget(const gpTargetCrash& aCrash);
   void DropOld(gpTime aNow);
   /// Null if the task was never lost in a crash.
   const LostRuns* Find(const std::string& aTask) const;
--- a/Source/Lease/gpCrashMonitor.cxx
+++ b/Source/Lease/gpCrashMonitor.cxx
@@ -53,8 +53,8 @@
       recent_.Add(aCrash, aNow);
       ContainQueues(aCrash, aNow, aOut);
       break;
-    case gpCrashNovelty::Confirmed:
-      recent_.Confirm(aCrash.target_, aCrash.number_);
+    case gpCrashNovelty::Settled:
+      recent_.Settle(aCrash.target_, aCrash.number_, aCrash.state_);
       break;
   }
   return novelty;
--- a/Source/Lease/gpCrashReporter.cxx
+++ b/Source/Lease/gpCrashReporter.cxx
@@ -19,7 +19,8 @@
     return;
   }
   if (const auto target = GetCrashableId()) {
-    Report(*target, false, aNow, aOut);
+    Report(*target, gpCrashState::Suspected, aNow, aOut);
+    suspectedAt_ = aNow;
   } else {
     detector_.Restart();
   }
@@ -31,17 +32,32 @@
                              gpLeaseEffects& aOut)
 {
   if (aEarlier.has_value() && detector_.IsUnreported()) {
-    Report(*aEarlier, true, aNow, aOut);
+    Report(*aEarlier, gpCrashState::Confirmed, aNow, aOut);
   } else if (aEarlier.has_value()) {
     // The target has not answered since the crash was reported.
-    crashes_.Confirm(*aEarlier, lastCrash_);
+    crashes_.Settle(*aEarlier, lastCrash_, gpCrashState::Confirmed);
   }
+  suspectedAt_.reset();
   detector_.Restart();
 }
 
+void
+gpCrashReporter::NoteAlive(gpTime aSentAt, gpLeaseEffects& aOut)
+{
+  if (!suspectedAt_.has_value() || aSentAt < *suspectedAt_) {
+    return;
+  }
+  suspectedAt_.reset();
+  const std::string& target = target_.Get().id_;
+  crashes_.Settle(target, lastCrash_, gpCrashState::Refuted);
+  aOut.Write(gpProcessLogEvent(gpEventKind::TargetAnnounced,
+                               target + " answers again, crash " +
+                                 std::to_string(lastCrash_) + " was none"));
+}
+
 void
 gpCrashReporter::Report(const std::string& aTarget,
-                        bool aConfirmed,
+                        gpCrashState aState,
                         gpTime aNow,
                         gpLeaseEffects& aOut)
 {
@@ -50,7 +66,7 @@
   crash.target_ = aTarget;
   crash.service_ = service_;
   crash.number_ = ++lastCrash_;
-  crash.confirmed_ = aConfirmed;
+  crash.state_ = aState;
   crash.queues_ = detector_.ListQueues();
   crash.runs_ = detector_.TakeLostRuns(runs_);
   aOut.Write(
--- a/Source/Lease/gpCrashReporter.h
+++ b/Source/Lease/gpCrashReporter.h
@@ -53,6 +53,9 @@
   void NoteRestart(const std::optional<std::string>& aEarlier,
                    gpTime aNow,
                    gpLeaseEffects& aOut);
+  /// The known incarnation has answered a poll that was sent at aSentAt: if a
+  /// crash was reported before, it was none.
+  void NoteAlive(gpTime aSentAt, gpLeaseEffects& aOut);
   void DropOld(gpTime aNow) { crashes_.DropOld(aNow); }
   /// The crashes of which entries are told.
   std::vector<gpTargetCrash> List() const { return crashes_.List(); }
@@ -61,9 +64,8 @@
   /// How long an entry that links with the guard is told of a crash.
   static constexpr gpMillis kKeepTime{ 10000 };
 
-  /// aConfirmed tells whether it's certain that the target has crashed.
   void Report(const std::string& aTarget,
-              bool aConfirmed,
+              gpCrashState aState,
               gpTime aNow,
               gpLeaseEffects& aOut);
 
@@ -74,4 +76,7 @@
   gpRecentCrashes crashes_{ kKeepTime };
   /// Number of the last crash, see gpTargetCrash.
   std::uint64_t lastCrash_;
+  /// When the last crash was reported, while it's neither confirmed nor
+  /// refuted.
+  std::optional<gpTime> suspectedAt_;
 };
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -434,6 +434,9 @@
     return;
   }
   crashReporter_.NoteReply(aEvent.reply_, now_);
+  if (target_.IsKnown() && target_.Get().startTime_ == aEvent.startTime_) {
+    crashReporter_.NoteAlive(aEvent.sentAt_, out_);
+  }
   target_.NoteAnswer(now_);
   pollSchedule_.NoteAnswered(aEvent.sentAt_, now_);
   for (const gpEndedRun& ended : aEvent.ended_) {
--- a/Source/Lease/gpRecentCrashes.cxx
+++ b/Source/Lease/gpRecentCrashes.cxx
@@ -10,11 +10,13 @@
 }
 
 void
-gpRecentCrashes::Confirm(const std::string& aTarget, std::uint64_t aNumber)
+gpRecentCrashes::Settle(const std::string& aTarget,
+                        std::uint64_t aNumber,
+                        gpCrashState aState)
 {
   for (auto& [notedAt, crash] : crashes_) {
     if (crash.target_ == aTarget && crash.number_ == aNumber) {
-      crash.confirmed_ = true;
+      crash.state_ = aState;
     }
   }
 }
--- a/Source/Lease/gpRecentCrashes.h
+++ b/Source/Lease/gpRecentCrashes.h
@@ -19,8 +19,11 @@
   }
 
   void Add(gpTargetCrash aCrash, gpTime aNow);
-  /// Marks a crash of the target as certain, unless it's too old.
-  void Confirm(const std::string& aTarget, std::uint64_t aNumber);
+  /// Stores what has become known about a crash of the target, unless it's too
+  /// old.
+  void Settle(const std::string& aTarget,
+              std::uint64_t aNumber,
+              gpCrashState aState);
   /// Drops the crashes that are too old.
   void DropOld(gpTime aNow);
   std::vector<gpTargetCrash> List() const;
--- a/Source/Model/gpCrashMessages.h
+++ b/Source/Model/gpCrashMessages.h
@@ -64,6 +64,14 @@
   bool operator==(const gpContainedQueue&) const = default;
 };
 
+/// What is known about the loss of a target.
+enum class gpCrashState
+{
+  Suspected, ///< the target can't be reached
+  Confirmed, ///< it has crashed: its next incarnation has appeared
+  Refuted,   ///< it has not crashed: the same incarnation answers again
+};
+
 /** \class gpTargetCrash
  * \brief A crash of a target, or the loss of one that can't be told from a
  * crash. Known by the ID of the target and the number.
@@ -76,9 +84,7 @@
   gpServiceName service_;
   /// Tells the crashes of a target apart; increases with each.
   std::uint64_t number_ = 0;
-  /// Whether it's certain that the target has crashed, as its next incarnation
-  /// has appeared.
-  bool confirmed_ = false;
+  gpCrashState state_ = gpCrashState::Suspected;
   std::vector<gpLostRun> runs_;
   /// The queues whose tasks have started at the target lately. Empty if the
   /// time of the crash isn't known.
--- a/Source/Wire/gpWireRuns.cxx
+++ b/Source/Wire/gpWireRuns.cxx
@@ -146,6 +146,19 @@
          aReader.Read(aIn->service(), aOut.service_);
 }
 
+namespace {
+
+gpCrashState
+StateOf(const gpWire::TargetCrash& aIn)
+{
+  if (aIn.confirmed()) {
+    return gpCrashState::Confirmed;
+  }
+  return aIn.refuted() ? gpCrashState::Refuted : gpCrashState::Suspected;
+}
+
+} // namespace
+
 Offset<gpWire::TargetCrash>
 gpWriteWire(FlatBufferBuilder& aBuilder, const gpTargetCrash& aIn)
 {
@@ -153,8 +166,14 @@
   const auto runs = gpWriteTables(aBuilder, aIn.runs_);
   const auto queues = gpWriteTables(aBuilder, aIn.queues_);
   const auto service = aBuilder.CreateString(aIn.service_.value_);
-  return gpWire::CreateTargetCrash(
-    aBuilder, target, aIn.number_, aIn.confirmed_, runs, queues, service);
+  return gpWire::CreateTargetCrash(aBuilder,
+                                   target,
+                                   aIn.number_,
+                                   aIn.state_ == gpCrashState::Confirmed,
+                                   runs,
+                                   queues,
+                                   service,
+                                   aIn.state_ == gpCrashState::Refuted);
 }
 
 bool
@@ -163,7 +182,7 @@
            gpTargetCrash& aOut)
 {
   aOut.number_ = aIn->number();
-  aOut.confirmed_ = aIn->confirmed();
+  aOut.state_ = StateOf(*aIn);
   return aReader.Read(aIn->target(), aOut.target_) &&
          (aIn->service() == nullptr ||
           aReader.Read(aIn->service(), aOut.service_)) &&
--- a/Source/Wire/gpWire_generated.h
+++ b/Source/Wire/gpWire_generated.h
@@ -4022,7 +4022,8 @@
     VT_CONFIRMED = 8,
     VT_RUNS = 10,
     VT_QUEUES = 12,
-    VT_SERVICE = 14
+    VT_SERVICE = 14,
+    VT_REFUTED = 16
   };
   const flatbuffers::String *target() const {
     return GetPointer<const flatbuffers::String *>(VT_TARGET);
@@ -4042,6 +4043,9 @@
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
   }
+  bool refuted() const {
+    return GetField<uint8_t>(VT_REFUTED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_TARGET) &&
@@ -4056,6 +4060,7 @@
            verifier.VerifyVectorOfTables(queues()) &&
            VerifyOffset(verifier, VT_SERVICE) &&
            verifier.VerifyString(service()) &&
+           VerifyField<uint8_t>(verifier, VT_REFUTED, 1) &&
            verifier.EndTable();
   }
 };
@@ -4082,6 +4087,9 @@
   void add_service(flatbuffers::Offset<flatbuffers::String> service) {
     fbb_.AddOffset(TargetCrash::VT_SERVICE, service);
   }
+  void add_refuted(bool refuted) {
+    fbb_.AddElement<uint8_t>(TargetCrash::VT_REFUTED, static_cast<uint8_t>(refuted), 0);
+  }
   explicit TargetCrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4103,13 +4111,15 @@
     bool confirmed = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::LostRun>>> runs = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::QueueActivity>>> queues = 0,
-    flatbuffers::Offset<flatbuffers::String> service = 0) {
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    bool refuted = false) {
   TargetCrashBuilder builder_(_fbb);
   builder_.add_number(number);
   builder_.add_service(service);
   builder_.add_queues(queues);
   builder_.add_runs(runs);
   builder_.add_target(target);
+  builder_.add_refuted(refuted);
   builder_.add_confirmed(confirmed);
   return builder_.Finish();
 }
@@ -4126,7 +4136,8 @@
     bool confirmed = false,
     const std::vector<flatbuffers::Offset<gpWire::LostRun>> *runs = nullptr,
     const std::vector<flatbuffers::Offset<gpWire::QueueActivity>> *queues = nullptr,
-    const char *service = nullptr) {
+    const char *service = nullptr,
+    bool refuted = false) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto runs__ = runs ? _fbb.CreateVector<flatbuffers::Offset<gpWire::LostRun>>(*runs) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<gpWire::QueueActivity>>(*queues) : 0;
@@ -4138,7 +4149,8 @@
       confirmed,
       runs__,
       queues__,
-      service__);
+      service__,
+      refuted);
 }
 
 struct TargetNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/Lease/testCrashes.cxx
+++ b/Tests/Lease/testCrashes.cxx
@@ -57,7 +57,7 @@
   return { "target",
            kService,
            aNumber,
-           true,
+           gpCrashState::Confirmed,
            { { { aTask, aNumber }, kQueue, aIsSuspected, true } },
            {} };
 }
@@ -111,7 +111,8 @@
   /// have started last.
   void Add(const std::set<gpQueueName>& aSuspected, std::uint32_t aChance)
   {
-    gpTargetCrash crash{ "target", kService, ++number_, true, {}, {} };
+    gpTargetCrash crash{ "target", kService, ++number_, gpCrashState::Confirmed,
+                         {},       {} };
     for (const gpQueueName& queue : { kQueue, kOtherQueue }) {
       const gpRunId run{ queue.value_ + ".0.0.0", number_ };
       crash.runs_.push_back({ run, queue, aSuspected.contains(queue), true });
@@ -260,25 +261,44 @@
   ledger.Add(crash, kStart);
   BOOST_TEST(!ledger.IsWithheld("job"));
   gpTargetCrash uncertain = MakeCrash(3, "job.0.0.0", true);
-  uncertain.confirmed_ = false;
+  uncertain.state_ = gpCrashState::Suspected;
   ledger.Add(uncertain, kStart);
   BOOST_TEST(ledger.IsWithheld("job"));
   BOOST_TEST(!ledger.IsGivenUp("job"));
 }
 
+// Guards against a task that is given up as targets were only cut off for a
+// while.
+BOOST_AUTO_TEST_CASE(ARefutedCrashDoesNotCount)
+{
+  gpCrashLedger ledger;
+  for (const std::uint64_t number : { 1, 2 }) {
+    gpTargetCrash crash = MakeCrash(number, "job.0.0.0", true);
+    crash.state_ = gpCrashState::Suspected;
+    ledger.Add(crash, kStart);
+  }
+  BOOST_TEST(ledger.IsWithheld("job"));
+  gpTargetCrash refuted = MakeCrash(2, "job.0.0.0", true);
+  refuted.state_ = gpCrashState::Refuted;
+  BOOST_TEST((ledger.Add(refuted, kStart) == gpCrashNovelty::Settled));
+  BOOST_TEST((ledger.Add(refuted, kStart) == gpCrashNovelty::Known));
+  BOOST_TEST(!ledger.IsWithheld("job"));
+  BOOST_TEST(ledger.IsSuspected("job.0.0.0"));
+}
+
 // Guards against a job that is shown as failed although no target has crashed
 // under it: the target was cut off, or its task had not started.
 BOOST_AUTO_TEST_CASE(AJobIsGivenUpOnlyAfterTwoCertainCrashes)
 {
   gpCrashLedger ledger;
   gpTargetCrash second = MakeCrash(2, "job.0.0.0", true);
-  second.confirmed_ = false;
+  second.state_ = gpCrashState::Suspected;
   ledger.Add(MakeCrash(1, "job.0.0.0", true), kStart);
   ledger.Add(second, kStart);
   BOOST_TEST(ledger.IsWithheld("job"));
   BOOST_TEST(!ledger.IsGivenUp("job"));
-  second.confirmed_ = true;
-  BOOST_TEST((ledger.Add(second, kStart) == gpCrashNovelty::Confirmed));
+  second.state_ = gpCrashState::Confirmed;
+  BOOST_TEST((ledger.Add(second, kStart) == gpCrashNovelty::Settled));
   BOOST_TEST(ledger.IsGivenUp("job"));
   gpTargetCrash unstarted = MakeCrash(3, "other.0.0.0", true);
   unstarted.runs_[0].started_ = false;
@@ -352,7 +372,9 @@
   detector.NoteStart(gpQueueName(), kStart);
   detector.NoteReply(gpOrderReply::Accepted, kStart);
   detector.NoteReply(gpOrderReply::NotSent, kStart + gpMillis(10));
-  gpTargetCrash crash{ "target", kService, 0, true, {}, detector.ListQueues() };
+  gpTargetCrash crash{ "target", kService,
+                       0,        gpCrashState::Confirmed,
+                       {},       detector.ListQueues() };
   crash.runs_ = detector.TakeLostRuns(runs);
   BOOST_REQUIRE(crash.runs_.front().suspected_);
   gpQueueContainment containment;
--- a/Tests/Lease/testLeaseEntry.cxx
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -64,13 +64,13 @@
 /// A crash of the target shortly after the start of the run, whose queue seldom
 /// starts tasks there.
 gpTargetCrash
-MakeCrash(std::uint64_t aNumber, bool aConfirmed, const gpRunId& aRun)
+MakeCrash(std::uint64_t aNumber, gpCrashState aState, const gpRunId& aRun)
 {
   constexpr std::uint32_t kSmallChance = 100;
   return { "target",
            kService,
            aNumber,
-           aConfirmed,
+           aState,
            { { aRun, kQueue, true, true } },
            { { kQueue, kSmallChance } } };
 }
@@ -153,12 +153,12 @@
   }
 
   /// The guard reports that its target has crashed under the run ordered last,
-  /// and that it's certain if aConfirmed is set.
-  void CrashTarget(std::uint64_t aNumber, bool aConfirmed)
+  /// or looks so.
+  void CrashTarget(std::uint64_t aNumber, gpCrashState aState)
   {
     gpTargetUpdate update = MakeUpdate();
     update.takesWork_ = false;
-    update.crashes_ = { MakeCrash(aNumber, aConfirmed, ordered_.back()) };
+    update.crashes_ = { MakeCrash(aNumber, aState, ordered_.back()) };
     Feed(gpMessageReceived{ kLink, update });
     EndRun(gpRunEnd::Stopped);
     update.takesWork_ = true;
@@ -330,11 +330,11 @@
 {
   EntryWithGuard entry;
   entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("deadly") });
-  entry.CrashTarget(1, true);
+  entry.CrashTarget(1, gpCrashState::Confirmed);
   BOOST_TEST(!entry.answers_.contains(gpRequestId(1)));
   entry.Pass(gpMillis(100));
   BOOST_REQUIRE(entry.ordered_.size() == 2U);
-  entry.CrashTarget(2, true);
+  entry.CrashTarget(2, gpCrashState::Confirmed);
   BOOST_REQUIRE(entry.answers_.contains(gpRequestId(1)));
   const gpLeaseAnswer& answer = entry.answers_.at(gpRequestId(1));
   BOOST_TEST((answer.outcome_ == gpLeaseOutcome::Failed));
@@ -352,7 +352,7 @@
   gpEntryUpdate update;
   for (const std::uint64_t number : { 1, 2 }) {
     const gpRunId run{ "deadly.0.0.0", number };
-    update.crashes_.push_back(MakeCrash(number, true, run));
+    update.crashes_.push_back(MakeCrash(number, gpCrashState::Confirmed, run));
   }
   entry.Feed(gpMessageReceived{ gpLinkId(2), update });
   entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("deadly") });
@@ -370,7 +370,7 @@
   for (const std::uint64_t number : { 1, 2, 3 }) {
     gpEntryUpdate update;
     const gpRunId run{ std::to_string(number) + ".0.0.0", number };
-    update.crashes_.push_back(MakeCrash(number, true, run));
+    update.crashes_.push_back(MakeCrash(number, gpCrashState::Confirmed, run));
     entry.Pass(gpMillis(300));
     entry.Feed(gpMessageReceived{ gpLinkId(2), update });
   }
@@ -387,9 +387,10 @@
   }
   const std::size_t before = entry.ordered_.size();
   gpEntryUpdate update;
-  update.crashes_.push_back(MakeCrash(1, false, entry.ordered_.back()));
+  update.crashes_.push_back(
+    MakeCrash(1, gpCrashState::Suspected, entry.ordered_.back()));
   entry.Feed(gpMessageReceived{ gpLinkId(2), update });
-  entry.CrashTarget(1, false);
+  entry.CrashTarget(1, gpCrashState::Suspected);
   entry.Pass(gpMillis(1));
   BOOST_TEST(entry.ordered_.size() > before);
 }
@@ -400,9 +401,9 @@
 {
   EntryWithGuard entry;
   entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("deadly") });
-  entry.CrashTarget(1, false);
+  entry.CrashTarget(1, gpCrashState::Suspected);
   entry.Pass(gpMillis(100));
-  entry.CrashTarget(2, false);
+  entry.CrashTarget(2, gpCrashState::Suspected);
   BOOST_REQUIRE(entry.answers_.contains(gpRequestId(1)));
   BOOST_TEST((entry.answers_.at(gpRequestId(1)).reason_ ==
               gpLeaseReason::TaskSuspected));
@@ -423,7 +424,7 @@
     entry.FailJob(job);
   }
   const std::size_t before = entry.ordered_.size();
-  entry.CrashTarget(1, false);
+  entry.CrashTarget(1, gpCrashState::Suspected);
   entry.Pass(gpMillis(1));
   BOOST_TEST(entry.ordered_.size() > before);
 }
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -65,6 +65,10 @@
         ++closedLinks_;
       } else if (std::holds_alternative<gpStoreTargetRecord>(effect)) {
         ++stored_;
+      } else if (const auto* send = std::get_if<gpSend>(&effect)) {
+        if (const auto* update = std::get_if<gpTargetUpdate>(&send->message_)) {
+          crashes_ = update->crashes_;
+        }
       }
     }
   }
@@ -101,6 +105,10 @@
   int stored_ = 0;
   int stops_ = 0;
   int polls_ = 0;
+  /// The crashes of which the entry was told last.
+  std::vector<gpTargetCrash> crashes_;
+  /// The start time that answers to polls contain.
+  std::uint64_t startTime_ = 0;
 
 private:
   void Answer(const gpLeaseEffect& aCall, gpOrderReply aReply)
@@ -114,6 +122,7 @@
       ++polls_;
       gpPollReplied seen;
       seen.sentAt_ = now_;
+      seen.startTime_ = startTime_;
       seen.reply_ = aReply;
       Feed(seen);
     }
@@ -344,3 +353,32 @@
   guard.Feed(gpMessageReceived{ kLink, order });
   BOOST_TEST(guard.starts_ == 1);
 }
+
+// Guards against a target that was only cut off for a while and whose tasks
+// are held to have crashed it.
+BOOST_AUTO_TEST_CASE(ACrashIsRefutedWhenTheTargetAnswersAgain)
+{
+  GuardWithTarget guard;
+  guard.startTime_ = 1;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun();
+  guard.RunFor(gpMillis(100), gpOrderReply::NotSent);
+  BOOST_REQUIRE(guard.crashes_.size() == 1U);
+  BOOST_TEST((guard.crashes_[0].state_ == gpCrashState::Suspected));
+  guard.RunFor(gpMillis(200), gpOrderReply::Accepted);
+  BOOST_REQUIRE(guard.crashes_.size() == 1U);
+  BOOST_TEST((guard.crashes_[0].state_ == gpCrashState::Refuted));
+}
+
+BOOST_AUTO_TEST_CASE(ACrashIsConfirmedByTheNextIncarnation)
+{
+  GuardWithTarget guard;
+  guard.startTime_ = 1;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun();
+  guard.RunFor(gpMillis(100), gpOrderReply::NotSent);
+  guard.startTime_ = 2;
+  guard.RunFor(gpMillis(200), gpOrderReply::Accepted);
+  BOOST_REQUIRE(guard.crashes_.size() == 1U);
+  BOOST_TEST((guard.crashes_[0].state_ == gpCrashState::Confirmed));
+}
--- a/Tests/Wire/gpSampleMessages.cxx
+++ b/Tests/Wire/gpSampleMessages.cxx
@@ -116,7 +116,7 @@
       { { "i-1",
           gpServiceName("pond-order"),
           7,
-          true,
+          gpCrashState::Confirmed,
           { { run, gpQueueName("hold"), true, true, gpMillis(0) },
             { run, gpQueueName("hold"), false, true, gpMillis(105) } },
           { { gpQueueName("hold"), 210 } } } } },
@@ -127,7 +127,7 @@
       { { "i-2",
           gpServiceName("pond-order"),
           8,
-          false,
+          gpCrashState::Refuted,
           { { run, gpQueueName("hold"), false, false, std::nullopt } },
           {} } },
       { { gpQueueName("hold"), gpServiceName("pond-order"), gpMillis(100) } } }
