Guard: Wait for the longest lease after a restart under the same ID

What could happen: two runs of a task at one time (TWICE).

Cause: a target crashes at 101.831 s and comes back under its ID at 101.983 s. A start for the earlier incarnation arrives 22 ms late, 1 ms after that, when no call has shown the new incarnation a fence. Its lease ends at 2361 on the earlier clock; the new clock is at 2, so the target takes the longest lease it allows, one second. The guard renews with 400 ms, which doesn't shorten it, and after 450 ms of silence reports the runs as ended, while they go on. Class of fault: what was sent to an earlier incarnation has an effect on the next.

Now, after a restart under the same ID, the guard reports runs as ended only when the longest lease has expired that the target may have been given before it answered a call with the raised fence.

Ruled out: giving such a target no work for a second, as it costs that second at each return.

--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -263,6 +263,7 @@
 gpLeaseGuardReducer::OnNewIncarnation(bool aIsSameId)
 {
   if (aIsSameId) {
+    target_.NoteRestartedUnderSameId(now_);
     stopper_.StopAll(now_, out_);
   } else {
     FinishAll();
@@ -438,7 +439,11 @@
     crashReporter_.NoteAlive(aEvent.sentAt_, out_);
   }
   target_.NoteAnswer(now_);
+  const bool hadAnswer = pollSchedule_.HasAnswer();
   pollSchedule_.NoteAnswered(aEvent.sentAt_, now_);
+  if (!hadAnswer && pollSchedule_.HasAnswer()) {
+    target_.NoteFenceSeen(now_);
+  }
   for (const gpEndedRun& ended : aEvent.ended_) {
     if (ended.position_ > seenEnds_) {
       seenEnds_ = ended.position_;
--- a/Source/Lease/gpLeaseTimings.h
+++ b/Source/Lease/gpLeaseTimings.h
@@ -11,12 +11,14 @@
 /// Tolerates the loss of three heartbeats.
 constexpr gpMillis kLinkSilence{ 400 };
 /// With each poll, the guard sets the end of its target's lease to so long
-/// after the present time; it polls several times within it. The target limits
-/// a lease to one second, and its clock may be 2 % slow.
+/// after the present time; it polls several times within it. The target's clock
+/// may be 2 % slow.
 constexpr gpMillis kLease{ 400 };
 /// Upper bound of how much later than on the guard's clock a lease ends: 2 % of
-/// one second, and the network delay of an order in flight.
+/// kLongestLease, and the network delay of an order in flight.
 constexpr gpMillis kLeaseSlack{ 50 };
+/// The target limits a lease to this time.
+constexpr gpMillis kLongestLease{ 1000 };
 /// A run ends at most so long after the order to stop it.
 constexpr gpMillis kStopTime{ 50 };
 /// A caller that lost its answer waits at least so long before it submits the
--- a/Source/Lease/gpTargetSession.cxx
+++ b/Source/Lease/gpTargetSession.cxx
@@ -1,6 +1,8 @@
 #include "gpTargetSession.h"
 
+#include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include "gpLeaseTimings.h"
 
@@ -39,6 +41,7 @@
   NoteAnswer(aNow);
   reportedStartTime_ = aTarget.startTime_;
   leaseExpiresAt_ = aNow;
+  isLeaseUnknown_ = false;
   clock_ = 0;
   return true;
 }
@@ -58,6 +61,21 @@
   return true;
 }
 
+void
+gpTargetSession::NoteRestartedUnderSameId(gpTime aNow)
+{
+  isLeaseUnknown_ = true;
+  leaseExpiresAt_ = aNow + kLongestLease + kLeaseSlack;
+}
+
+void
+gpTargetSession::NoteFenceSeen(gpTime aNow)
+{
+  if (std::exchange(isLeaseUnknown_, false)) {
+    leaseExpiresAt_ = aNow + kLongestLease + kLeaseSlack;
+  }
+}
+
 void
 gpTargetSession::NoteClock(std::uint64_t aClock, gpTime aNow)
 {
@@ -70,7 +88,7 @@
 std::uint64_t
 gpTargetSession::ExtendLease(gpTime aNow)
 {
-  leaseExpiresAt_ = aNow + kLease + kLeaseSlack;
+  leaseExpiresAt_ = std::max(leaseExpiresAt_, aNow + kLease + kLeaseSlack);
   const auto passed =
     std::chrono::duration_cast<gpMillis>(aNow - clockAt_).count();
   return clock_ + static_cast<std::uint64_t>(passed + kLease.count());
--- a/Source/Lease/gpTargetSession.h
+++ b/Source/Lease/gpTargetSession.h
@@ -26,6 +26,12 @@
   /// if this is another incarnation under the same ID; its capacity is unknown
   /// until its next heartbeat.
   bool NoteStartTime(std::uint64_t aStartTime);
+  /// Another incarnation has appeared under the same ID. Until it has seen the
+  /// higher fence, it accepts late orders for the earlier one, whose clock was
+  /// ahead, so that its lease may be as long as the target allows.
+  void NoteRestartedUnderSameId(gpTime aNow);
+  /// The target has answered the first call with a fence for this incarnation.
+  void NoteFenceSeen(gpTime aNow);
   /// Stores the target's clock, in ms, from an answer received at aNow.
   void NoteClock(std::uint64_t aClock, gpTime aNow);
   /// The target answered a call, with whatever result.
@@ -73,7 +79,7 @@
   /// Returns the new end of the lease, in ms on the target's clock, and records
   /// that the lease is sent at aNow.
   std::uint64_t ExtendLease(gpTime aNow);
-  /// Whether the last lease that was sent has expired for certain.
+  /// Whether the target's lease has expired for certain.
   bool HasLeaseExpired(gpTime aNow) const { return aNow >= leaseExpiresAt_; }
 
 private:
@@ -88,6 +94,8 @@
   std::uint64_t clock_ = 0;
   gpTime clockAt_;
   gpTime leaseExpiresAt_;
+  /// Whether late orders may have extended the lease.
+  bool isLeaseUnknown_ = false;
   gpTime answeredAt_;
   bool isReachable_ = true;
   bool ended_ = false;
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -66,6 +66,7 @@
       } else if (std::holds_alternative<gpStoreTargetRecord>(effect)) {
         ++stored_;
       } else if (const auto* send = std::get_if<gpSend>(&effect)) {
+        reports_ += std::holds_alternative<gpRunReport>(send->message_) ? 1 : 0;
         if (const auto* update = std::get_if<gpTargetUpdate>(&send->message_)) {
           crashes_ = update->crashes_;
         }
@@ -105,6 +106,8 @@
   int stored_ = 0;
   int stops_ = 0;
   int polls_ = 0;
+  /// Ends of runs that were reported to the entry.
+  int reports_ = 0;
   /// The crashes of which the entry was told last.
   std::vector<gpTargetCrash> crashes_;
   /// The start time that answers to polls contain.
@@ -354,6 +357,28 @@
   BOOST_TEST(guard.starts_ == 1);
 }
 
+// An order for the earlier incarnation under the same ID may arrive late and
+// extend the lease as far as the target allows. Guards against a second run of
+// a task at one time, after the guard has reported the first one as ended.
+BOOST_AUTO_TEST_CASE(ARestartedTargetMayHoldTheLongestLease)
+{
+  GuardWithTarget guard;
+  guard.startTime_ = 1;
+  guard.RunFor(gpMillis(1500), gpOrderReply::Accepted);
+  guard.startTime_ = 2;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  gpTargetAnnouncement restarted = MakeTarget(2);
+  restarted.startTime_ = 2;
+  guard.Feed(gpHeartbeatReceived{ restarted });
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun();
+  BOOST_REQUIRE(guard.starts_ == 1);
+  guard.RunFor(gpMillis(900), gpOrderReply::Silent);
+  BOOST_TEST(guard.reports_ == 0);
+  guard.RunFor(gpMillis(300), gpOrderReply::Silent);
+  BOOST_TEST(guard.reports_ == 1);
+}
+
 // Guards against a target that was only cut off for a while and whose tasks
 // are held to have crashed it.
 BOOST_AUTO_TEST_CASE(ACrashIsRefutedWhenTheTargetAnswersAgain)
