--- a/Tests/Lease/testLeaseHistories.cxx
+++ b/Tests/Lease/testLeaseHistories.cxx
@@ -3,8 +3,6 @@
 
 #include <array>
 #include <cstdint>
-#include <iostream>
-#include <set>
 #include <string>
 
 #include "gpLeaseHistory.h"
@@ -12,13 +10,9 @@
 
 namespace {
 
-/// Runs histories of consecutive seeds. The seeds in aKnownRed fail for the
-/// reason given in KNOWN-RED.txt; they are printed and skipped, unless a single
-/// seed is requested.
+/// Runs histories of consecutive seeds.
 void
-RunHistories(gpLeaseHistoryOptions aOptions,
-             std::uint64_t aDefaultCount,
-             const std::set<std::uint64_t>& aKnownRed = {})
+RunHistories(gpLeaseHistoryOptions aOptions, std::uint64_t aDefaultCount)
 {
   const std::uint64_t first = gpNumberFromEnvironment("GP_HISTORY_SEED", 1);
   const std::uint64_t count =
@@ -28,10 +22,6 @@
   std::size_t moves = 0;
   std::size_t wronglyGivenUp = 0;
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
-    if (count > 1 && aKnownRed.contains(seed)) {
-      std::cout << "known red, passed over: seed " << seed << "\n";
-      continue;
-    }
     aOptions.seed_ = seed;
     gpLeaseHistory history(aOptions);
     const std::vector<std::string> broken = history.Run();
@@ -126,7 +116,7 @@
   gpLeaseHistoryOptions options;
   options.length_ = gpMillis(2500);
   options.lostOrders_ = 400;
-  RunHistories(options, 1000, { 427 });
+  RunHistories(options, 1000);
 }
 
 BOOST_AUTO_TEST_CASE(HistoriesWithUnreachableTargetsKeepTheInvariants)
