Entry, guard: Do once what the handling of crashes does twice

- The dispatcher builds the requirements of a task once for each order.
- Without a contained queue, a new job is held against the targets once instead of twice.
- A guard compares its target's record only when an order changes whether the target guards its capacity, not at each order.
- gpCrashPatterns lets all scores decay together, so one time serves all.
- The reply of a poll is noted in one place.
- The list of suspected queues is local to the one file that needs it, and the histories use gpJobOfTask in place of a copy.

--- a/Source/Lease/gpCrashMonitor.cxx
+++ b/Source/Lease/gpCrashMonitor.cxx
@@ -23,6 +23,20 @@
   aOut.Write(std::move(event));
 }
 
+/// The queues of the runs that are suspected of the crash. Runs of entries of
+/// an older version have no queue.
+std::set<gpQueueName>
+SuspectedQueues(const gpTargetCrash& aCrash)
+{
+  std::set<gpQueueName> queues;
+  for (const gpLostRun& run : aCrash.runs_) {
+    if (run.suspected_ && !run.queue_.value_.empty()) {
+      queues.insert(run.queue_);
+    }
+  }
+  return queues;
+}
+
 } // namespace
 
 gpTargetCrash
@@ -71,7 +85,7 @@
   for (const gpContainedQueue& queue : containment_.NoteCrash(aCrash, aNow)) {
     WriteQueue(gpEventKind::QueueContained, queue, aOut);
   }
-  const std::set<gpQueueName> suspected = gpSuspectedQueues(aCrash);
+  const std::set<gpQueueName> suspected = SuspectedQueues(aCrash);
   const bool isDeadly = std::any_of(
     aCrash.runs_.begin(), aCrash.runs_.end(), [this](const gpLostRun& aRun) {
       return aRun.suspected_ && ledger_.IsDeadly(aRun.run_.task_);
--- a/Source/Lease/gpCrashPatterns.cxx
+++ b/Source/Lease/gpCrashPatterns.cxx
@@ -80,33 +80,30 @@
 }
 
 void
-gpCrashPatterns::Suspicion::Decay(gpTime aNow)
+gpCrashPatterns::Decay(gpTime aNow)
 {
-  const std::chrono::duration<double> passed = aNow - updatedAt_;
-  score_ *= std::exp(-passed.count() / kDecaySeconds);
-  updatedAt_ = aNow;
+  const std::chrono::duration<double> passed = aNow - decayedAt_;
+  const double factor = std::exp(-passed.count() / kDecaySeconds);
+  for (auto& [pattern, score] : scores_) {
+    score *= factor;
+  }
+  decayedAt_ = aNow;
 }
 
 void
 gpCrashPatterns::NoteCrash(const gpTargetCrash& aCrash, gpTime aNow)
 {
-  for (auto& [pattern, suspicion] : suspicions_) {
-    suspicion.Decay(aNow);
-  }
+  Decay(aNow);
   const std::set<gpCrashPattern> fitting = FittingPatterns(aCrash);
   std::map<gpMillis, double> sums;
   for (const gpCrashPattern& pattern : fitting) {
-    const auto [found, isNew] =
-      suspicions_.try_emplace(pattern, Suspicion{ 0, aNow });
-    sums[pattern.age_] += std::exp(found->second.score_);
+    sums[pattern.age_] += std::exp(scores_[pattern]);
   }
   for (const gpQueueActivity& queue : aCrash.queues_) {
     AddWeight(queue, fitting, sums);
     SubtractWeight(queue.queue_, fitting);
   }
-  std::erase_if(suspicions_, [](const auto& aSuspicion) {
-    return aSuspicion.second.score_ <= 0;
-  });
+  std::erase_if(scores_, [](const auto& aScore) { return aScore.second <= 0; });
 }
 
 void
@@ -121,7 +118,7 @@
     }
     const double most = IsLate(pattern) ? kMostLateWeight : kMostWeight;
     const double weight = std::min(most, -std::log(chance));
-    double& score = suspicions_.at(pattern).score_;
+    double& score = scores_.at(pattern);
     score += weight * std::exp(score) / aSums.at(pattern.age_);
   }
 }
@@ -130,9 +127,9 @@
 gpCrashPatterns::SubtractWeight(const gpQueueName& aQueue,
                                 const std::set<gpCrashPattern>& aFitting)
 {
-  for (auto& [pattern, suspicion] : suspicions_) {
+  for (auto& [pattern, score] : scores_) {
     if (pattern.queue_ == aQueue && !aFitting.contains(pattern)) {
-      suspicion.score_ = std::max(0.0, suspicion.score_ - kOtherCauseWeight);
+      score = std::max(0.0, score - kOtherCauseWeight);
     }
   }
 }
@@ -141,8 +138,8 @@
 gpCrashPatterns::ListConfirmed() const
 {
   std::vector<gpCrashPattern> confirmed;
-  for (const auto& [pattern, suspicion] : suspicions_) {
-    if (suspicion.score_ >= ConfirmedScoreOf(pattern)) {
+  for (const auto& [pattern, score] : scores_) {
+    if (score >= ConfirmedScoreOf(pattern)) {
       confirmed.push_back(pattern);
     }
   }
@@ -152,5 +149,6 @@
 void
 gpCrashPatterns::NoteReleased(const gpCrashPattern& aPattern, gpTime aNow)
 {
-  suspicions_[aPattern] = { ConfirmedScoreOf(aPattern) - kReleasedLack, aNow };
+  Decay(aNow);
+  scores_[aPattern] = ConfirmedScoreOf(aPattern) - kReleasedLack;
 }
--- a/Source/Lease/gpCrashPatterns.h
+++ b/Source/Lease/gpCrashPatterns.h
@@ -47,19 +47,13 @@
   /// The patterns that explain the crashes.
   std::vector<gpCrashPattern> ListConfirmed() const;
   /// The crashes are explained: forgets all patterns.
-  void Clear() { suspicions_.clear(); }
+  void Clear() { scores_.clear(); }
   /// The pattern no longer explains crashes; one more that fits confirms it.
   void NoteReleased(const gpCrashPattern& aPattern, gpTime aNow);
 
 private:
-  struct Suspicion
-  {
-    double score_ = 0;
-    gpTime updatedAt_;
-
-    void Decay(gpTime aNow);
-  };
-
+  /// Lets all scores decay until aNow.
+  void Decay(gpTime aNow);
   /// Adds the crash to the patterns of the queue that it fits.
   void AddWeight(const gpQueueActivity& aQueue,
                  const std::set<gpCrashPattern>& aFitting,
@@ -68,5 +62,7 @@
   void SubtractWeight(const gpQueueName& aQueue,
                       const std::set<gpCrashPattern>& aFitting);
 
-  std::map<gpCrashPattern, Suspicion> suspicions_;
+  /// The sum of the weights for each pattern, at decayedAt_.
+  std::map<gpCrashPattern, double> scores_;
+  gpTime decayedAt_;
 };
--- a/Source/Lease/gpLeaseAdmission.cxx
+++ b/Source/Lease/gpLeaseAdmission.cxx
@@ -59,16 +59,12 @@
   if (!targetTable_.HasTarget(service, kAny)) {
     return gpLeaseAnswer{ Outcome::NotRun, Reason::NoTarget, kShortestRetry };
   }
-  const gpPlacementScope scope = containment_.ScopeOf(*aQueue);
-  bool isOutOfScope = !targetTable_.HasTarget(service, scope);
-  for (const gpJobStep& step : aJob.steps_) {
-    if (!targetTable_.CouldHold(service, kAny, step.needs_)) {
-      return gpLeaseAnswer{ Outcome::NotRun, Reason::TooLarge, std::nullopt };
-    }
-    isOutOfScope =
-      isOutOfScope || !targetTable_.CouldHold(service, scope, step.needs_);
+  if (!CouldHold(aJob, service, kAny)) {
+    return gpLeaseAnswer{ Outcome::NotRun, Reason::TooLarge, std::nullopt };
   }
-  if (isOutOfScope) {
+  const gpPlacementScope scope = containment_.ScopeOf(*aQueue);
+  if (scope != kAny && !(targetTable_.HasTarget(service, scope) &&
+                         CouldHold(aJob, service, scope))) {
     return gpLeaseAnswer{ Outcome::NotRun,
                           Reason::QueueContained,
                           kContainedRetry };
@@ -76,6 +72,17 @@
   return std::nullopt;
 }
 
+bool
+gpLeaseAdmission::CouldHold(const gpLeaseJob& aJob,
+                            const gpServiceName& aService,
+                            gpPlacementScope aScope) const
+{
+  return std::all_of(
+    aJob.steps_.begin(), aJob.steps_.end(), [&](const gpJobStep& aStep) {
+      return targetTable_.CouldHold(aService, aScope, aStep.needs_);
+    });
+}
+
 std::optional<gpLeaseAnswer>
 gpLeaseAdmission::FindCrashRefusal(const gpLeaseJob& aJob,
                                    const gpCrashLedger& aCrashes)
--- a/Source/Lease/gpLeaseAdmission.h
+++ b/Source/Lease/gpLeaseAdmission.h
@@ -59,6 +59,11 @@
                                 gpTime aNow);
 
 private:
+  /// Whether there is a target in the scope for each step of the job.
+  bool CouldHold(const gpLeaseJob& aJob,
+                 const gpServiceName& aService,
+                 gpPlacementScope aScope) const;
+
   const gpTargetTable& targetTable_;
   const gpLeaseJobTable& jobs_;
   const gpQueueContainment& containment_;
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -142,8 +142,9 @@
 void
 gpLeaseGuardReducer::OnMessage(gpLinkId aLink, const gpRunOrder& aMessage)
 {
-  capacityEnforced_ = aMessage.capacityEnforced_;
-  if (capacityToldAt_.has_value()) {
+  const bool wasEnforced =
+    std::exchange(capacityEnforced_, aMessage.capacityEnforced_);
+  if (capacityEnforced_ != wasEnforced && capacityToldAt_.has_value()) {
     UpdateRecord();
   }
   for (const gpRunId& run : aMessage.runs_) {
@@ -415,6 +416,7 @@
     WriteTarget(gpEventKind::TargetLeaving, "another incarnation answered");
     OnNewIncarnation(true);
   }
+  crashReporter_.NoteReply(aEvent.reply_, now_);
   if (aEvent.reply_ != gpOrderReply::Accepted) {
     if (aEvent.reply_ == gpOrderReply::Fence) {
       target_.RaiseFence();
@@ -431,10 +433,8 @@
     if (aEvent.reply_ == gpOrderReply::NotSent) {
       target_.NoteUnreachable();
     }
-    crashReporter_.NoteReply(aEvent.reply_, now_);
     return;
   }
-  crashReporter_.NoteReply(aEvent.reply_, now_);
   if (target_.IsKnown() && target_.Get().startTime_ == aEvent.startTime_) {
     crashReporter_.NoteAlive(aEvent.sentAt_, out_);
   }
--- a/Source/Lease/gpRunDispatcher.cxx
+++ b/Source/Lease/gpRunDispatcher.cxx
@@ -77,7 +77,7 @@
     const gpPlacementNeed need = NeedOf(job, index, aNow);
     const auto guard = aPlace(need);
     if (guard.has_value()) {
-      SendRun(job, index, *guard, aNow, aOut);
+      SendRun(job, index, need, *guard, aNow, aOut);
     } else if (!need.isSuspected_) {
       ++missed;
       missedJob = sequence;
@@ -97,7 +97,7 @@
     const gpPlacementNeed need = NeedOf(aJob, index, aNow);
     const auto guard = targetTable_.Choose(need, aNow);
     if (guard.has_value()) {
-      SendRun(aJob, index, *guard, aNow, aOut);
+      SendRun(aJob, index, need, *guard, aNow, aOut);
     } else if (!need.isSuspected_) {
       // The other tasks of the job need no less.
       return;
@@ -153,6 +153,7 @@
 void
 gpRunDispatcher::SendRun(gpLeaseRecord& aJob,
                          std::size_t aTask,
+                         const gpPlacementNeed& aNeed,
                          gpIncarnation aGuard,
                          gpTime aNow,
                          gpLeaseEffects& aOut)
@@ -161,7 +162,7 @@
   gpLeaseTask& task = aJob.tasks_[aTask];
   const gpJobStep& step = aJob.GetStep(task);
   task.stragglerAt_ = gpStragglerTime(step, aNow);
-  targetTable_.NoteSent(aGuard, task.run_, NeedOf(aJob, aTask, aNow), aNow);
+  targetTable_.NoteSent(aGuard, task.run_, aNeed, aNow);
   const gpTargetView& view = *targetTable_.Find(aGuard);
   orders_.Add(view.link_, aJob, task.step_, task.run_);
   aOut.Write(gpTaskLogEvent(
--- a/Source/Lease/gpRunDispatcher.h
+++ b/Source/Lease/gpRunDispatcher.h
@@ -74,8 +74,10 @@
                          gpTime aNow) const;
   gpPlacementScope ScopeOf(const gpLeaseRecord& aJob,
                            const gpLeaseTask& aTask) const;
+  /// Orders a run of the task, whose requirements are aNeed.
   void SendRun(gpLeaseRecord& aJob,
                std::size_t aTask,
+               const gpPlacementNeed& aNeed,
                gpIncarnation aGuard,
                gpTime aNow,
                gpLeaseEffects& aOut);
--- a/Source/Model/gpCrashMessages.h
+++ b/Source/Model/gpCrashMessages.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -92,17 +91,3 @@
 
   bool operator==(const gpTargetCrash&) const = default;
 };
-
-/// The queues of the runs that are suspected of the crash. Runs of entries of
-/// an older version have no queue.
-inline std::set<gpQueueName>
-gpSuspectedQueues(const gpTargetCrash& aCrash)
-{
-  std::set<gpQueueName> queues;
-  for (const gpLostRun& run : aCrash.runs_) {
-    if (run.suspected_ && !run.queue_.value_.empty()) {
-      queues.insert(run.queue_);
-    }
-  }
-  return queues;
-}
--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -47,12 +47,6 @@
   return table;
 }
 
-std::string
-JobOf(const std::string& aTask)
-{
-  return aTask.substr(0, aTask.find('.'));
-}
-
 } // namespace
 
 gpLeaseHistory::gpLeaseHistory(gpLeaseHistoryOptions aOptions)
@@ -401,7 +395,7 @@
   const int from = EndOf(link, aProcess);
   if (const auto* order = std::get_if<gpRunOrder>(&aSend.message_)) {
     for (const gpRunId& run : order->runs_) {
-      ordered_.emplace(run, newest_.at(JobOf(run.task_)));
+      ordered_.emplace(run, newest_.at(gpJobOfTask(run.task_)));
       needs_.emplace(run, order->needs_);
     }
   }
@@ -859,7 +853,7 @@
     target->Advance(now_);
     for (const gpSimEnd& end : target->TakeEnds()) {
       if (end.end_ == gpRunEnd::Done) {
-        doneTasks_[JobOf(end.run_.task_)].insert(end.run_.task_);
+        doneTasks_[gpJobOfTask(end.run_.task_)].insert(end.run_.task_);
       }
     }
     for (const auto& [id, run] : target->GetRunning()) {
