Entry: Forget old crashes by a timer

What could happen: a job that is withheld for two uncertain crashes is refused until the next crash of any target, instead of two minutes, and an entry that links later is told of crashes older than one minute.

Cause: old crashes were dropped only when a message told of a crash. Class of fault: a time limit that only an unrelated event enforces. The same place also walked all that is remembered for each crash that guards repeat in their updates; a known crash is found at once now.

Evidence: CrashesAreForgottenThoughNoOtherFollows failed before.

--- a/Source/Lease/gpCrashLedger.cxx
+++ b/Source/Lease/gpCrashLedger.cxx
@@ -38,20 +38,26 @@
   return suspected_.size() >= kMostSuspected || all_.size() >= kMostCrashes;
 }
 
+bool
+gpCrashLedger::IsKnown(const gpTargetCrash& aCrash) const
+{
+  const auto found = crashes_.find(std::pair(aCrash.target_, aCrash.number_));
+  return found != crashes_.end() &&
+         (found->second.state_ != gpCrashState::Suspected ||
+          aCrash.state_ == gpCrashState::Suspected);
+}
+
 gpCrashNovelty
 gpCrashLedger::Add(const gpTargetCrash& aCrash, gpTime aNow)
 {
   DropOld(aNow);
-  const auto [found, isNew] = crashes_.try_emplace(
-    std::pair(aCrash.target_, aCrash.number_), Crash{ aNow, aCrash.state_ });
-  Crash& crash = found->second;
-  const bool isSettled = crash.state_ != gpCrashState::Suspected ||
-                         aCrash.state_ == gpCrashState::Suspected;
-  if (!isNew && isSettled) {
+  if (IsKnown(aCrash)) {
     return gpCrashNovelty::Known;
   }
-  crash.state_ = aCrash.state_;
-  if (crash.state_ == gpCrashState::Refuted) {
+  const auto [found, isNew] = crashes_.try_emplace(
+    std::pair(aCrash.target_, aCrash.number_), Crash{ aNow, aCrash.state_ });
+  found->second.state_ = aCrash.state_;
+  if (aCrash.state_ == gpCrashState::Refuted) {
     Forget(aCrash);
     return gpCrashNovelty::Settled;
   }
--- a/Source/Lease/gpCrashLedger.h
+++ b/Source/Lease/gpCrashLedger.h
@@ -35,6 +35,10 @@
 public:
   /// Counts a crash, and corrects the count when it's confirmed or refuted.
   gpCrashNovelty Add(const gpTargetCrash& aCrash, gpTime aNow);
+  /// Whether the crash tells nothing new.
+  bool IsKnown(const gpTargetCrash& aCrash) const;
+  /// Forgets the crashes that are too old.
+  void DropOld(gpTime aNow);
   /// Whether the task may be the cause of a crash.
   bool IsSuspected(const std::string& aTask) const;
   /// Whether the task had been running for long when its target crashed, so
@@ -79,7 +83,6 @@
   void Count(const gpTargetCrash& aCrash, gpTime aNow);
   /// Forgets the runs, which were not lost.
   void Forget(const gpTargetCrash& aCrash);
-  void DropOld(gpTime aNow);
   /// Null if the task was never lost in a crash.
   const LostRuns* Find(const std::string& aTask) const;
 
--- a/Source/Lease/gpCrashMonitor.cxx
+++ b/Source/Lease/gpCrashMonitor.cxx
@@ -58,7 +58,10 @@
                       gpTime aNow,
                       gpLeaseEffects& aOut)
 {
-  recent_.DropOld(aNow);
+  // Guards repeat a crash in each of their updates for some time.
+  if (ledger_.IsKnown(aCrash)) {
+    return gpCrashNovelty::Known;
+  }
   const gpCrashNovelty novelty = ledger_.Add(Suspect(aCrash), aNow);
   switch (novelty) {
     case gpCrashNovelty::Known:
@@ -120,6 +123,18 @@
   }
 }
 
+void
+gpCrashMonitor::DropOld(gpTime aNow)
+{
+  constexpr gpMillis kDropPause{ 1000 };
+  if (aNow < dropAt_) {
+    return;
+  }
+  dropAt_ = aNow + kDropPause;
+  ledger_.DropOld(aNow);
+  recent_.DropOld(aNow);
+}
+
 void
 gpCrashMonitor::AddTo(gpEntryUpdate& aUpdate) const
 {
--- a/Source/Lease/gpCrashMonitor.h
+++ b/Source/Lease/gpCrashMonitor.h
@@ -28,6 +28,8 @@
     const std::function<bool(const gpServiceName&)>& aHasTarget,
     gpTime aNow,
     gpLeaseEffects& aOut);
+  /// Forgets what is too old, once a second.
+  void DropOld(gpTime aNow);
   /// Adds what another entry has to know when it links.
   void AddTo(gpEntryUpdate& aUpdate) const;
 
@@ -48,4 +50,6 @@
   gpCrashLedger ledger_;
   gpQueueContainment containment_;
   gpRecentCrashes recent_{ kKeepTime };
+  /// When DropOld is due next.
+  gpTime dropAt_;
 };
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -399,6 +399,7 @@
   if (wakeAt_ != gpTime{}) {
     lag_.NoteTimer(wakeAt_, now_);
   }
+  crashes_.DropOld(now_);
   crashes_.ReleaseQueues(
     [this](const gpServiceName& aService) {
       return targetTable_.HasTarget(aService, gpPlacementScope::SetApart);
--- a/Tests/Lease/testLeaseEntry.cxx
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -103,6 +104,9 @@
           ordered_.insert(
             ordered_.end(), order->runs_.begin(), order->runs_.end());
         }
+        if (const auto* update = std::get_if<gpEntryUpdate>(&send->message_)) {
+          update_ = *update;
+        }
       }
       if (const auto* write = std::get_if<gpWriteTimeline>(&effect)) {
         if (write->event_.kind_ == gpEventKind::QueueContained) {
@@ -170,6 +174,8 @@
   std::map<gpRequestId, gpLeaseAnswer> answers_;
   std::vector<gpRunId> ordered_;
   std::set<std::string> contained_;
+  /// The last update for an entry or the guard.
+  std::optional<gpEntryUpdate> update_;
   bool connectionsClosed_ = false;
   bool stopped_ = false;
 
@@ -415,6 +421,28 @@
   BOOST_TEST(entry.ordered_.size() == 2U);
 }
 
+// Guards against crashes that are remembered until the next one, as nothing
+// else makes the entry forget.
+BOOST_AUTO_TEST_CASE(CrashesAreForgottenThoughNoOtherFollows)
+{
+  EntryWithGuard entry;
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("deadly") });
+  entry.CrashTarget(1, gpCrashState::Suspected);
+  entry.Pass(gpMillis(100));
+  entry.CrashTarget(2, gpCrashState::Suspected);
+  BOOST_REQUIRE(entry.answers_.contains(gpRequestId(1)));
+  entry.Pass(std::chrono::minutes(3));
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(2), MakeJob("deadly") });
+  BOOST_TEST(entry.ordered_.size() == 3U);
+  // An entry that links now isn't told of them.
+  gpLinkOpened opened;
+  opened.link_ = gpLinkId(2);
+  opened.peer_.role_ = gpRole::Entry;
+  entry.Feed(opened);
+  BOOST_REQUIRE(entry.update_.has_value());
+  BOOST_TEST(entry.update_->crashes_.empty());
+}
+
 // Guards against a target that gets no work for a second or more after its
 // return, as the calls that its crash has broken count as its failures.
 BOOST_AUTO_TEST_CASE(ACrashedTargetIsUsedAtOnceWhenItIsBack)
