Entry: Set targets apart by the names of their guards

What could happen: while a restarted guard is still linked as its former self too, more than a fifth of the targets is set apart, or the only target of a service serves contained queues or the others, but not both.

Cause: targets are set apart by the hash of their guard's name, and the two incarnations of a guard count as two; which comes first was decided by their addresses in memory. Class of fault: one thing under two identities is counted twice, and an order that isn't defined.

Evidence: ARestartedGuardDoesNotChangeTheTargetsSetApart failed before.

--- a/Source/Lease/gpTargetTable.cxx
+++ b/Source/Lease/gpTargetTable.cxx
@@ -155,23 +155,27 @@
 gpTargetTable::UpdateScopes()
 {
   fastest_.clear();
-  std::map<gpServiceName, std::vector<std::pair<std::uint64_t, gpTargetView*>>>
+  // By the hash of the guard's name, so that all entries agree. A guard that
+  // was restarted may still be linked as its former self too.
+  std::map<gpServiceName, std::map<std::uint64_t, std::vector<gpTargetView*>>>
     services;
   for (auto& [guard, view] : views_) {
-    services[view.update_.service_].emplace_back(gpStableHash(view.name_, 0),
-                                                 &view);
+    services[view.update_.service_][gpStableHash(view.name_, 0)].push_back(
+      &view);
   }
   for (auto& [service, targets] : services) {
-    std::sort(targets.begin(), targets.end());
-    const std::size_t setApart = CountSetApart(targets.size());
-    for (std::size_t index = 0; index < targets.size(); ++index) {
-      auto& scopes = targets[index].second->scopes_;
+    std::size_t setApart = CountSetApart(targets.size());
+    for (auto& [hash, views] : targets) {
+      std::set<gpPlacementScope> scopes{ setApart > 0
+                                           ? gpPlacementScope::SetApart
+                                           : gpPlacementScope::Others };
       if (targets.size() == 1) {
-        scopes = { gpPlacementScope::SetApart, gpPlacementScope::Others };
-      } else {
-        scopes = { index < setApart ? gpPlacementScope::SetApart
-                                    : gpPlacementScope::Others };
+        scopes.insert(gpPlacementScope::Others);
+      }
+      for (gpTargetView* view : views) {
+        view->scopes_ = scopes;
       }
+      setApart -= std::min<std::size_t>(setApart, 1);
     }
   }
 }
--- a/Tests/Lease/testLeaseParts.cxx
+++ b/Tests/Lease/testLeaseParts.cxx
@@ -1,6 +1,9 @@
 #define BOOST_TEST_MODULE gpLeaseParts
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+#include <string>
+
 #include "gpLeaseJobTable.h"
 #include "gpLeaseTimeCheck.h"
 #include "gpLeaseTimings.h"
@@ -26,11 +29,18 @@
 {
 public:
   void Add(std::uint64_t aGuard, double aSlowness, std::uint64_t aFree)
+  {
+    Add(aGuard, "guard-" + std::to_string(aGuard), aSlowness, aFree);
+  }
+  void Add(std::uint64_t aGuard,
+           const std::string& aName,
+           double aSlowness,
+           std::uint64_t aFree)
   {
     const gpIncarnation guard(aGuard);
     gpPeer peer;
     peer.role_ = gpRole::Guard;
-    peer.name_ = "guard-" + std::to_string(aGuard);
+    peer.name_ = aName;
     peer.incarnation_ = guard;
     targetTable_.OnLinked(peer, gpLinkId(aGuard));
     gpTargetUpdate update;
@@ -251,6 +261,28 @@
   BOOST_TEST(setApart == 2U);
 }
 
+// Guards against more targets that are set apart while a guard that was
+// restarted is still linked as its former self too, and against a choice that
+// depends on the order of views in memory.
+BOOST_AUTO_TEST_CASE(ARestartedGuardDoesNotChangeTheTargetsSetApart)
+{
+  for (std::uint64_t restarted = 1; restarted <= 10; ++restarted) {
+    LinkedTargets linked;
+    for (std::uint64_t guard = 1; guard <= 10; ++guard) {
+      linked.Add(guard, 1.0, 64000);
+    }
+    linked.Add(11, "guard-" + std::to_string(restarted), 1.0, 64000);
+    std::set<std::string> setApart;
+    std::set<std::string> others;
+    for (const auto& [guard, view] : linked.targetTable_.GetAll()) {
+      (view.IsIn(gpPlacementScope::SetApart) ? setApart : others)
+        .insert(view.name_);
+    }
+    BOOST_TEST(setApart.size() == 2U);
+    BOOST_TEST(others.size() == 8U);
+  }
+}
+
 // A service with a single target can't set one apart.
 BOOST_AUTO_TEST_CASE(ASingleTargetServesAllQueues)
 {
