--- a/review/harness/world.py
+++ b/review/harness/world.py
@@ -84,7 +84,7 @@
             "run_ended", task=run.task, run=run.number, worker=worker.name, how=how
         )
 
-    def configure(self, version, timeout_ms=3000):
+    def configure(self, version, timeout_ms=1500):
         """The operator writes a configuration with one queue."""
         route = {
             "name": "plant-hold",
@@ -94,7 +94,7 @@
             "priority": 1,
             "maxAttempts": 3,
             "stretch": 1.6,
-            "sloMs": 400,
+            "sloMs": 60,
             "timeoutMs": timeout_ms,
         }
         service = {"name": self.deployment.service, "enforcesCapacity": True}
