Review: After all processes are killed, guards are refused for their fences

While a target is down its guard raises the fence faster than the clock goes. A new guard starts at the time of day, far below what the target has seen, and is refused until it has climbed there.

--- a/review/harness/worker.py
+++ b/review/harness/worker.py
@@ -33,6 +33,7 @@
         self.capacity = {"cpu": 64000, "memMb": 262144, "gpu": 0}
         self.server = None
         self.tasks = []
+        self.refused = {}
         self.draining = False
         self.is_up = False
 
@@ -135,6 +136,7 @@
         return 404, {}
 
     def refuse(self, reason):
+        self.refused[reason] = self.refused.get(reason, 0) + 1
         return 409, {"clockMs": self.clock(), "reason": reason}
 
     def extend(self, deadline):
