--- a/review/harness/world.py
+++ b/review/harness/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import secrets
+import signal
 import time
 
 from deployment import Deployment
@@ -191,10 +192,13 @@
     """Plays a case and returns its exit code."""
 
     async def whole():
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             await world.open()
             return await play(world)
-        except Exception as error:  # any other end means that the case couldn't run
+        except (Exception, asyncio.CancelledError) as error:
+            # Any other end, also by the time limit, means that it couldn't run.
             world.record("could_not_run", error=repr(error))
             print(f"could not run: {error!r}")
             return COULD_NOT_RUN
