Guard: Log the evidence by which each run counts as ended

task_ended of a guard said 'stopped' alike for a run that its target no longer lists, for one whose target was taken for replaced, and for one whose lease had expired. Each end now names its evidence, so a false one can be found in a log by the moment and the target. No decision changes.

--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -218,13 +218,17 @@
 }
 
 void
-gpLeaseGuardReducer::Finish(const gpRunId& aRun, gpRunEnd aEnd)
+gpLeaseGuardReducer::Finish(const gpRunId& aRun,
+                            gpRunEnd aEnd,
+                            gpEndEvidence aEvidence)
 {
   const gpGuardRun* run = runs_.Find(aRun);
   if (run == nullptr) {
     return;
   }
-  WriteRun(gpEventKind::TaskEnded, aRun, gpRunEndName(aEnd));
+  WriteRun(gpEventKind::TaskEnded,
+           aRun,
+           gpRunEndName(aEnd) + " " + gpEndEvidenceName(aEvidence));
   const gpMicros time = now_ - run->orderedAt_;
   if (aEnd == gpRunEnd::Done) {
     speed_.NoteDone(run->estimate_, time);
@@ -239,7 +243,7 @@
 }
 
 void
-gpLeaseGuardReducer::FinishAll()
+gpLeaseGuardReducer::FinishAll(gpEndEvidence aEvidence)
 {
   stopper_.Clear();
   std::vector<gpRunId> all;
@@ -247,7 +251,7 @@
     all.push_back(id);
   }
   for (const gpRunId& id : all) {
-    Finish(id, gpRunEnd::Stopped);
+    Finish(id, gpRunEnd::Stopped, aEvidence);
   }
 }
 
@@ -256,7 +260,7 @@
                                  const std::vector<gpRunId>& aRunning)
 {
   for (const gpRunId& id : runs_.ListEnded(aSentAt, aRunning)) {
-    Finish(id, gpRunEnd::Stopped);
+    Finish(id, gpRunEnd::Stopped, gpEndEvidence::NotListed);
   }
 }
 
@@ -267,7 +271,7 @@
     target_.NoteRestartedUnderSameId(now_);
     stopper_.StopAll(now_, out_);
   } else {
-    FinishAll();
+    FinishAll(gpEndEvidence::TargetReplaced);
   }
   seenEnds_ = 0;
   speed_.Restart();
@@ -378,19 +382,19 @@
       return;
     case gpOrderReply::Fence:
       target_.RaiseFence();
-      Finish(id, gpRunEnd::Unhealthy);
+      Finish(id, gpRunEnd::Unhealthy, gpEndEvidence::NotStarted);
       return;
     case gpOrderReply::Outdated:
-      Finish(id, gpRunEnd::Outdated);
+      Finish(id, gpRunEnd::Outdated, gpEndEvidence::NotStarted);
       return;
     case gpOrderReply::Late:
     case gpOrderReply::NoRoom:
-      Finish(id, gpRunEnd::NoRoom);
+      Finish(id, gpRunEnd::NoRoom, gpEndEvidence::NotStarted);
       return;
     case gpOrderReply::Unhealthy:
     case gpOrderReply::OtherTarget:
     case gpOrderReply::NotSent:
-      Finish(id, gpRunEnd::Unhealthy);
+      Finish(id, gpRunEnd::Unhealthy, gpEndEvidence::NotStarted);
       return;
   }
 }
@@ -447,7 +451,7 @@
   for (const gpEndedRun& ended : aEvent.ended_) {
     if (ended.position_ > seenEnds_) {
       seenEnds_ = ended.position_;
-      Finish(ended.run_, ended.end_);
+      Finish(ended.run_, ended.end_, gpEndEvidence::Listed);
     }
   }
   FinishEnded(aEvent.sentAt_, aEvent.running_);
@@ -463,7 +467,7 @@
     WriteTarget(gpEventKind::TargetLeaving,
                 "no answer until its lease expired");
     crashReporter_.NoteGivenUp();
-    FinishAll();
+    FinishAll(gpEndEvidence::LeaseExpired);
   }
 }
 
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "gpCrashReporter.h"
+#include "gpEndEvidence.h"
 #include "gpEntryLinks.h"
 #include "gpLeaseEvent.h"
 #include "gpPollSchedule.h"
@@ -93,9 +94,9 @@
   /// The call to start the run ended.
   void NoteStarted(gpGuardRun& aRun, gpOrderReply aReply);
   /// The run has ended: reports it to its entry and frees its capacity.
-  void Finish(const gpRunId& aRun, gpRunEnd aEnd);
+  void Finish(const gpRunId& aRun, gpRunEnd aEnd, gpEndEvidence aEvidence);
   /// Ends all runs, after it has become certain that none is running.
-  void FinishAll();
+  void FinishAll(gpEndEvidence aEvidence);
   /// Ends the runs that a poll sent at aSentAt would have listed if they were
   /// still running, but didn't.
   void FinishEnded(gpTime aSentAt, const std::vector<gpRunId>& aRunning);
