Tests: Show that a foreign heartbeat ends runs of a live target

The suspected cause is a heartbeat of another writer that a guard takes for a new life of its target. The test sends one, well-formed, to a guard with a run at a target that goes on answering polls under its own ID and start time:

t-9: check guard.reports_ == 0 has failed [1 != 0] t-9: check guard.stops_ == 0 has failed [1 != 0] t-1: check guard.stops_ == 0 has failed [1 != 0]

The run is reported as ended at once while it runs on; under the target's own ID it's stopped for nothing.

--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -407,3 +407,39 @@
   BOOST_REQUIRE(guard.crashes_.size() == 1U);
   BOOST_TEST((guard.crashes_[0].state_ == gpCrashState::Confirmed));
 }
+
+namespace {
+
+/// A heartbeat as another writer may send it to the guard of t-1: well-formed,
+/// and of a life that began later.
+gpTargetAnnouncement
+MakeForeignHeartbeat(const std::string& aId)
+{
+  gpTargetAnnouncement foreign = MakeTarget(1);
+  foreign.id_ = aId;
+  foreign.startTime_ = 9;
+  return foreign;
+}
+
+} // namespace
+
+// Guards against a second run of a task at one time: a heartbeat of another
+// writer was taken for a new life of the target, whose runs were reported as
+// ended while they ran on.
+BOOST_AUTO_TEST_CASE(AForeignHeartbeatEndsNoRunOfALiveTarget,
+                     *boost::unit_test::disabled())
+{
+  for (const char* id : { "t-9", "t-1" }) {
+    BOOST_TEST_CONTEXT(id)
+    {
+      GuardWithTarget guard;
+      guard.startTime_ = 1;
+      guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+      guard.StartRun();
+      guard.Feed(gpHeartbeatReceived{ MakeForeignHeartbeat(id) });
+      guard.RunFor(gpMillis(3), gpOrderReply::Accepted);
+      BOOST_TEST(guard.reports_ == 0);
+      BOOST_TEST(guard.stops_ == 0);
+    }
+  }
+}
