Guard: Let no single heartbeat hide or end a drain

Cause: of one incarnation the heartbeat with the highest sequence number won. One foreign heartbeat with a number that is ahead made the guard ignore all later ones of the target, a drain among them; and one that says 'ready' ended a drain. Here the target can't be asked, as its answers don't tell.

Now a drain counts whatever number tells of it, and only heartbeats that go on in separate periods (gpHeartbeatSeries, three in a row) say that the target stays, or that the numbers below a single one are the true ones. Delayed heartbeats arrive together, so they are no series.

Left: until the series is there (three periods), a foreign heartbeat of the incarnation may tell a wrong capacity.

--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -287,7 +287,7 @@
     return;
   }
   if (target_.IsPresent(target)) {
-    if (target.sequence_ > target_.Get().sequence_) {
+    if (target_.IsNews(target, now_)) {
       Accept(target);
     }
   } else if (!target_.IsKnown() || target_.IsProven(target)) {
@@ -372,7 +372,7 @@
   const bool isSameId = target_.IsKnown() && target_.Get().id_ == aTarget.id_;
   const bool isOther = target_.NoteHeartbeat(aTarget, now_);
   pollSchedule_.NoteHeartbeat(now_);
-  runs_.SetCapacity(aTarget.capacity_);
+  runs_.SetCapacity(target_.Get().capacity_);
   if (isOther) {
     crashReporter_.NoteRestart(earlier, now_, out_);
     OnNewIncarnation(isSameId);
--- a/Source/Lease/gpTargetSession.cxx
+++ b/Source/Lease/gpTargetSession.cxx
@@ -20,14 +20,33 @@
          reportedStartTime_ == aTarget.startTime_;
 }
 
+bool
+gpTargetSession::IsNews(const gpTargetAnnouncement& aTarget, gpTime aNow)
+{
+  isInSeries_ = series_.Note(aTarget.sequence_, aNow);
+  return aTarget.sequence_ > target_->sequence_ || isInSeries_ ||
+         (aTarget.draining_ && !target_->draining_);
+}
+
+gpTargetAnnouncement
+gpTargetSession::Merge(const gpTargetAnnouncement& aTarget) const
+{
+  const bool isNewer = aTarget.sequence_ > target_->sequence_ || isInSeries_;
+  gpTargetAnnouncement merged = isNewer ? aTarget : *target_;
+  merged.draining_ = aTarget.draining_ || (target_->draining_ && !isInSeries_);
+  return merged;
+}
+
 bool
 gpTargetSession::NoteHeartbeat(const gpTargetAnnouncement& aTarget, gpTime aNow)
 {
-  const bool isPresent = IsPresent(aTarget);
-  target_ = aTarget;
-  if (isPresent) {
+  if (IsPresent(aTarget)) {
+    target_ = Merge(aTarget);
     return false;
   }
+  target_ = aTarget;
+  series_.Restart();
+  isInSeries_ = series_.Note(aTarget.sequence_, aNow);
   // Orders for the earlier incarnation may still be in flight; the higher fence
   // makes the new one refuse them.
   RaiseFence();
--- a/Source/Lease/gpTargetSession.h
+++ b/Source/Lease/gpTargetSession.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "gpHeartbeatSeries.h"
 #include "gpLeaseEvent.h"
 
 /** \class gpTargetSession
@@ -22,6 +23,10 @@
   /// Handles a heartbeat. Returns true if it's of another incarnation than the
   /// known one, which must have ended.
   bool NoteHeartbeat(const gpTargetAnnouncement& aTarget, gpTime aNow);
+  /// Whether a heartbeat of the known incarnation tells more than the known
+  /// ones: it's newer, says that the target leaves, or goes on with a series
+  /// whose numbers are below that of a single one.
+  bool IsNews(const gpTargetAnnouncement& aTarget, gpTime aNow);
   /// Handles the start time that an answer of the target contains. Returns true
   /// if this is another incarnation under the same ID; its capacity is unknown
   /// until its next heartbeat.
@@ -89,7 +94,14 @@
   /// Longer than several polls take, so that single lost answers are tolerated.
   static constexpr gpMillis kLongestSilence{ 450 };
 
+  /// The present heartbeat, but leaving if any of this incarnation was; only a
+  /// series of heartbeats says that the target stays.
+  gpTargetAnnouncement Merge(const gpTargetAnnouncement& aTarget) const;
+
   std::optional<gpTargetAnnouncement> target_;
+  gpHeartbeatSeries series_;
+  /// Whether the last heartbeat belongs to a series.
+  bool isInSeries_ = false;
   /// Start time of the incarnation in the target's last answer; 0 if none.
   std::uint64_t reportedStartTime_ = 0;
   std::uint64_t fence_;
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -453,3 +453,92 @@
     }
   }
 }
+
+// Guards against a live target that gets no work any more, or whose successor
+// isn't found, after a step of the clock.
+BOOST_AUTO_TEST_CASE(ANewIncarnationWithAnEarlierStartTimeIsUsed)
+{
+  GuardWithTarget guard;
+  guard.startTime_ = 1;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.RunFor(gpMillis(100), gpOrderReply::NotSent);
+  gpTargetAnnouncement successor = MakeTarget(1);
+  successor.id_ = "t-2";
+  successor.startTime_ = 0;
+  guard.id_ = successor.id_;
+  guard.startTime_ = 0;
+  guard.Feed(gpHeartbeatReceived{ successor });
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 1);
+}
+
+// Guards against a true heartbeat that isn't looked at, as its question to the
+// target got no answer.
+BOOST_AUTO_TEST_CASE(ATargetIsAskedAgainForAClaimWithoutAnAnswer)
+{
+  GuardWithTarget guard;
+  guard.startTime_ = 1;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  gpTargetAnnouncement successor = MakeTarget(1);
+  successor.id_ = "t-2";
+  successor.startTime_ = 5;
+  guard.Feed(gpHeartbeatReceived{ successor });
+  guard.RunFor(gpMillis(100), gpOrderReply::Silent);
+  guard.id_ = successor.id_;
+  guard.startTime_ = successor.startTime_;
+  guard.RunFor(gpMillis(200), gpOrderReply::Accepted);
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 1);
+}
+
+// Guards against new work for a leaving target: a foreign heartbeat of its
+// incarnation had a sequence number that was ahead, so all later ones were
+// ignored.
+BOOST_AUTO_TEST_CASE(AHeartbeatWithAHighSequenceNumberDoesNotHideADrain)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.Feed(gpHeartbeatReceived{ MakeTarget(100) });
+  guard.Feed(gpHeartbeatReceived{ MakeTarget(2, true) });
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 0);
+}
+
+// Guards against new work for a leaving target, after one heartbeat of another
+// writer, or delayed ones that arrive together.
+BOOST_AUTO_TEST_CASE(OnlyASeriesOfHeartbeatsEndsADrain)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.Feed(gpHeartbeatReceived{ MakeTarget(5, true) });
+  for (const std::uint64_t sequence : { 6, 7, 8, 9 }) {
+    guard.Feed(gpHeartbeatReceived{ MakeTarget(sequence) });
+  }
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 0);
+  for (const std::uint64_t sequence : { 10, 11, 12 }) {
+    guard.RunFor(gpMillis(500), gpOrderReply::Accepted);
+    guard.Feed(gpHeartbeatReceived{ MakeTarget(sequence) });
+  }
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 1);
+}
+
+// Guards against an old state of the target, after a foreign heartbeat with a
+// high sequence number.
+BOOST_AUTO_TEST_CASE(ASeriesBelowASingleSequenceNumberIsFollowed)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.Feed(gpHeartbeatReceived{ MakeTarget(1000) });
+  gpTargetAnnouncement shrunk = MakeTarget(2);
+  shrunk.capacity_ = { 500, 0, 0 };
+  for (const std::uint64_t sequence : { 2, 3, 4 }) {
+    guard.RunFor(gpMillis(500), gpOrderReply::Accepted);
+    shrunk.sequence_ = sequence;
+    guard.Feed(gpHeartbeatReceived{ shrunk });
+  }
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 0);
+}
