Guard: Use a target again that goes on after its announced end

What could be seen: a live target gets no work until it restarts.

Cause: the announced end was final, without a proof. Now heartbeats of the incarnation that go on in a series take it back, as they do a drain; until then the target gets nothing new, so a true end loses nothing.

--- a/Source/Lease/gpTargetSession.cxx
+++ b/Source/Lease/gpTargetSession.cxx
@@ -42,6 +42,7 @@
 {
   if (IsPresent(aTarget)) {
     target_ = Merge(aTarget);
+    ended_ = ended_ && (aTarget.draining_ || !isInSeries_);
     return false;
   }
   target_ = aTarget;
--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -262,7 +262,7 @@
 {
   gpTargetAnnouncement foreign = heartbeats_[aGuard];
   foreign.service_ = gpServiceName(kService);
-  switch (Draw(5)) {
+  switch (Draw(6)) {
     case 0: // of a target that doesn't exist
       foreign.id_ = "i-foreign";
       foreign.startTime_ = WallClockMs();
@@ -277,6 +277,9 @@
     case 3: // of the target of another guard
       foreign = heartbeats_[Draw(guards_.size())];
       break;
+    case 4: // of a writer who says that the target has ended
+      GiveGuard(aGuard, gpTargetEnded{ foreign.id_ });
+      return;
     default: // of the same incarnation, with a sequence number that is ahead
       foreign.sequence_ += 100;
       break;
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -525,6 +525,23 @@
   BOOST_TEST(guard.starts_ == 1);
 }
 
+// Guards against a live target that gets no work until it restarts, after a
+// call of another writer said that it had ended.
+BOOST_AUTO_TEST_CASE(ATargetThatGoesOnSendingHasNotEnded)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.Feed(gpTargetEnded{ "t-1" });
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 0);
+  for (const std::uint64_t sequence : { 2, 3, 4 }) {
+    guard.RunFor(gpMillis(500), gpOrderReply::Accepted);
+    guard.Feed(gpHeartbeatReceived{ MakeTarget(sequence) });
+  }
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 1);
+}
+
 // Guards against an old state of the target, after a foreign heartbeat with a
 // high sequence number.
 BOOST_AUTO_TEST_CASE(ASeriesBelowASingleSequenceNumberIsFollowed)
