Guard: Keep several claims, and ask about one at a time

Now the last few claims are kept, by ID and start time, each with its latest heartbeat and the time at which it came; one is asked about at a time, a bounded number a second; while one is open, only an answer that shows the known incarnation says that it lives.

Also: the poll that finds another start time ends no runs by its list, as it still had the earlier fence; a refusal of another ID isn't read for a start time.

--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -44,7 +44,7 @@
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
   crashReporter_.Check(now_, out_);
   stopper_.Repeat(pollSchedule_.GetPause(), now_, out_);
-  AskForClaim();
+  AskForClaims();
   Poll();
   links_.Update(runs_, now_, out_);
   links_.SendUpdates(MakeTargetUpdate(), MakeCapacityReport(), now_, out_);
@@ -288,62 +288,80 @@
   }
   if (target_.IsPresent(target)) {
     if (target_.IsNews(target, now_)) {
-      Accept(target);
+      Accept(target, now_);
     }
   } else if (!target_.IsKnown() || target_.IsProven(target)) {
-    Accept(target);
+    Accept(target, now_);
   } else {
-    claim_.Set(target, now_);
+    claims_.Note(target, now_);
   }
 }
 
 void
-gpLeaseGuardReducer::Accept(const gpTargetAnnouncement& aTarget)
+gpLeaseGuardReducer::Accept(const gpTargetAnnouncement& aTarget, gpTime aToldAt)
 {
   Announce(aTarget);
-  capacityToldAt_ = now_;
+  capacityToldAt_ = aToldAt;
   UpdateRecord();
 }
 
 void
-gpLeaseGuardReducer::AskForClaim()
+gpLeaseGuardReducer::AskForClaims()
 {
-  if (now_ < claim_.GetNext()) {
-    return;
+  const auto id = claims_.TakeDue(now_);
+  if (id.has_value()) {
+    out_.Add(gpIdentifyTarget{ *id, target_.GetFence() });
   }
-  claim_.NoteAsked();
-  out_.Add(gpIdentifyTarget{ claim_.Get()->id_, target_.GetFence() });
 }
 
 void
 gpLeaseGuardReducer::On(const gpTargetIdentified& aEvent)
 {
-  if (!claim_.IsOf(aEvent.id_)) {
-    return;
-  }
-  const gpTargetAnnouncement claimed = *claim_.Get();
   switch (aEvent.reply_) {
     case gpOrderReply::Accepted:
+      SettleClaims(aEvent);
+      return;
     case gpOrderReply::OtherTarget:
-      claim_.Drop();
-      break;
+      claims_.Refute(aEvent.id_);
+      WriteTarget(gpEventKind::BadInput,
+                  "heartbeat of " + aEvent.id_ + ": the target has another ID");
+      return;
     case gpOrderReply::Fence:
       target_.RaiseFence();
-      claim_.NoteUnanswered(now_, gpMillis(0));
+      claims_.NoteUnanswered(aEvent.id_, now_, gpMillis(0));
       return;
     default:
-      claim_.NoteUnanswered(now_, pollSchedule_.GetPause());
+      claims_.NoteUnanswered(aEvent.id_, now_, pollSchedule_.GetPause());
       return;
   }
-  const bool isTrue = aEvent.reply_ == gpOrderReply::Accepted &&
-                      aEvent.startTime_ == claimed.startTime_;
-  if (isTrue) {
-    Accept(claimed);
-  } else {
+}
+
+void
+gpLeaseGuardReducer::SettleClaims(const gpTargetIdentified& aEvent)
+{
+  const auto claim = claims_.Confirm(aEvent.id_, aEvent.startTime_);
+  if (!claim.has_value()) {
     WriteTarget(gpEventKind::BadInput,
-                "heartbeat of " + claimed.id_ + " started at " +
-                  std::to_string(claimed.startTime_) +
-                  ": the target is another incarnation");
+                "heartbeat of " + aEvent.id_ + ": the target has started at " +
+                  std::to_string(aEvent.startTime_));
+    return;
+  }
+  // A later heartbeat may have been accepted while the target was asked.
+  const bool isOutdated = target_.IsPresent(claim->target_) &&
+                          claim->target_.sequence_ <= target_.Get().sequence_;
+  if (!isOutdated) {
+    Accept(claim->target_, claim->toldAt_);
+  }
+}
+
+void
+gpLeaseGuardReducer::NoteReply(gpOrderReply aReply)
+{
+  const bool isUnanswered = aReply == gpOrderReply::Silent ||
+                            aReply == gpOrderReply::Broken ||
+                            aReply == gpOrderReply::NotSent;
+  if (isUnanswered || claims_.IsEmpty()) {
+    crashReporter_.NoteReply(aReply, now_);
   }
 }
 
@@ -417,7 +435,7 @@
   if (gpGuardRun* run = runs_.Find(aEvent.run_)) {
     NoteStarted(*run, aEvent.reply_);
   }
-  crashReporter_.NoteReply(aEvent.reply_, now_);
+  NoteReply(aEvent.reply_);
 }
 
 void
@@ -464,7 +482,7 @@
     target_.RaiseFence();
   }
   stopper_.NoteReply(aEvent, now_);
-  crashReporter_.NoteReply(aEvent.reply_, now_);
+  NoteReply(aEvent.reply_);
 }
 
 void
@@ -475,12 +493,24 @@
   }
   target_.NoteClock(aEvent.clock_, now_);
   const auto earlier = crashReporter_.GetCrashableId();
-  if (target_.NoteStartTime(aEvent.startTime_)) {
+  const bool isSameId = aEvent.reply_ != gpOrderReply::OtherTarget;
+  if (isSameId && target_.NoteStartTime(aEvent.startTime_)) {
     crashReporter_.NoteRestart(earlier, now_, out_);
     WriteTarget(gpEventKind::TargetLeaving, "another incarnation answered");
     OnNewIncarnation(true);
+    target_.NoteAnswer(now_);
+    // This poll had the fence of the earlier incarnation, so orders for that
+    // one may still be carried out after the list was made.
+    return;
+  }
+  const bool isKnown = target_.IsKnown() &&
+                       aEvent.reply_ == gpOrderReply::Accepted &&
+                       target_.Get().startTime_ == aEvent.startTime_;
+  if (isKnown) {
+    crashReporter_.NoteReply(aEvent.reply_, now_);
+  } else {
+    NoteReply(aEvent.reply_);
   }
-  crashReporter_.NoteReply(aEvent.reply_, now_);
   if (aEvent.reply_ != gpOrderReply::Accepted) {
     if (aEvent.reply_ == gpOrderReply::Fence) {
       target_.RaiseFence();
@@ -499,7 +529,7 @@
     }
     return;
   }
-  if (target_.IsKnown() && target_.Get().startTime_ == aEvent.startTime_) {
+  if (isKnown) {
     crashReporter_.NoteAlive(aEvent.sentAt_, out_);
   }
   target_.NoteAnswer(now_);
@@ -611,7 +641,7 @@
   const gpTime updateAt = links_.GetNextUpdateTime(runs_.GetFree());
   when = std::min(when, std::max(updateAt, soonest));
   when = std::min(when, std::max(crashReporter_.GetNext(), soonest));
-  when = std::min(when, std::max(claim_.GetNext(), soonest));
+  when = std::min(when, std::max(claims_.GetNext(), soonest));
   const gpTime stopAt = stopper_.GetNext(pollSchedule_.GetPause());
   when = std::min(when, std::max(stopAt, soonest));
   if (wakeAt_ <= now_ || when < wakeAt_) {
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -10,7 +10,7 @@
 #include "gpPollSchedule.h"
 #include "gpRunStopper.h"
 #include "gpRunTable.h"
-#include "gpTargetClaim.h"
+#include "gpTargetClaims.h"
 #include "gpTargetSession.h"
 #include "gpTargetSpeed.h"
 
@@ -106,11 +106,17 @@
   /// have accepted orders of this guard, so all runs have ended. Under the same
   /// ID, orders sent last may have reached it, so all runs are stopped.
   void OnNewIncarnation(bool aIsSameId);
-  /// Asks the target whether it is the incarnation that a heartbeat claims.
-  void AskForClaim();
-  /// Handles a heartbeat of the present incarnation: the known one, or one that
-  /// the target has confirmed.
-  void Accept(const gpTargetAnnouncement& aTarget);
+  /// Asks the target whether it is an incarnation that a heartbeat claims.
+  void AskForClaims();
+  /// The target has answered under this ID as the incarnation of this start
+  /// time.
+  void SettleClaims(const gpTargetIdentified& aEvent);
+  /// Handles a heartbeat that arrived at aToldAt, of the present incarnation:
+  /// the known one, or one that the target has confirmed.
+  void Accept(const gpTargetAnnouncement& aTarget, gpTime aToldAt);
+  /// A call to the target ended. While it's not certain which incarnation has
+  /// answered, the answer doesn't show that the known one lives.
+  void NoteReply(gpOrderReply aReply);
   void Announce(const gpTargetAnnouncement& aTarget);
   /// Stores what is known of the target, unless the record in the store says
   /// the same.
@@ -133,7 +139,7 @@
   gpLeaseEffects out_;
   gpEntryLinks links_;
   gpTargetSession target_;
-  gpTargetClaim claim_;
+  gpTargetClaims claims_;
   gpRunTable runs_;
   gpRunStopper stopper_;
   gpPollSchedule pollSchedule_;
--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -474,10 +474,12 @@
   }
   auto carry = [this, aGuard, aStart, run, length]() mutable {
     gpSimTarget* target = targets_[aGuard].get();
-    if (target == nullptr || target->GetId() != aStart.target_ ||
-        IsCut(aGuard)) {
+    if (target == nullptr || IsCut(aGuard)) {
       return gpOrderReply::NotSent;
     }
+    if (target->GetId() != aStart.target_) {
+      return gpOrderReply::OtherTarget;
+    }
     run.endsAt_ = now_ + length;
     const gpOrderReply reply = target->Start(aStart, run, now_);
     if (reply == gpOrderReply::Accepted) {
@@ -514,10 +516,11 @@
 {
   const auto carry = [this, aGuard, aStop] {
     gpSimTarget* target = targets_[aGuard].get();
-    return target == nullptr || target->GetId() != aStop.target_ ||
-               IsCut(aGuard)
-             ? gpOrderReply::NotSent
-             : target->Stop(aStop, now_);
+    if (target == nullptr || IsCut(aGuard)) {
+      return gpOrderReply::NotSent;
+    }
+    return target->GetId() == aStop.target_ ? target->Stop(aStop, now_)
+                                            : gpOrderReply::OtherTarget;
   };
   if (Chance(options_.lostOrders_)) {
     if (Chance(500)) {
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -107,6 +107,8 @@
   int stored_ = 0;
   int stops_ = 0;
   int polls_ = 0;
+  /// Questions which incarnation the target is.
+  int asks_ = 0;
   /// Ends of runs that were reported to the entry.
   int reports_ = 0;
   /// The crashes of which the entry was told last.
@@ -127,6 +129,7 @@
     } else if (const auto* start = std::get_if<gpStartRun>(&aCall)) {
       Feed(gpStartReplied{ start->run_, aReply, 0 });
     } else if (const auto* call = std::get_if<gpIdentifyTarget>(&aCall)) {
+      ++asks_;
       const bool isOther = aReply == gpOrderReply::Accepted && call->id_ != id_;
       Feed(gpTargetIdentified{
         call->id_, isOther ? gpOrderReply::OtherTarget : aReply, startTime_ });
@@ -559,3 +562,128 @@
   guard.StartRun();
   BOOST_TEST(guard.starts_ == 0);
 }
+
+namespace {
+
+/// A heartbeat of an incarnation that the guard doesn't know.
+gpTargetAnnouncement
+MakeSuccessor(const std::string& aId,
+              std::uint64_t aStartTime,
+              std::uint64_t aSequence,
+              bool aIsDraining = false)
+{
+  gpTargetAnnouncement successor = MakeTarget(aSequence, aIsDraining);
+  successor.id_ = aId;
+  successor.startTime_ = aStartTime;
+  return successor;
+}
+
+/// A guard with a run at t-1, whose machine then fails silently.
+class GuardOfLostTarget : public GuardWithTarget
+{
+public:
+  GuardOfLostTarget()
+  {
+    startTime_ = 1;
+    RunFor(gpMillis(20), gpOrderReply::Accepted);
+    StartRun();
+    running_ = { kRun };
+    RunFor(gpMillis(20), gpOrderReply::Accepted);
+  }
+
+  /// Another incarnation is there from now on, and runs nothing.
+  void Replace(const std::string& aId, std::uint64_t aStartTime)
+  {
+    id_ = aId;
+    startTime_ = aStartTime;
+    running_.clear();
+  }
+};
+
+} // namespace
+
+// Guards against a new incarnation that is found only a heartbeat later, as a
+// foreign heartbeat came before the target had answered.
+BOOST_AUTO_TEST_CASE(AForeignHeartbeatDoesNotReplaceATrueClaim)
+{
+  GuardOfLostTarget guard;
+  guard.Replace("t-2", 5);
+  guard.Feed(gpHeartbeatReceived{ MakeSuccessor("t-2", 5, 1) });
+  guard.Feed(gpHeartbeatReceived{ MakeSuccessor("t-9", 9, 1) });
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  BOOST_TEST(guard.reports_ == 1);
+  BOOST_TEST(guard.crashes_.size() == 1U);
+}
+
+// Guards against new work for a leaving target, whose drain is forgotten when
+// the target is asked about an earlier heartbeat.
+BOOST_AUTO_TEST_CASE(AnEarlierHeartbeatDoesNotReplaceAClaim)
+{
+  GuardOfLostTarget guard;
+  guard.Replace("t-2", 5);
+  guard.Feed(gpHeartbeatReceived{ MakeSuccessor("t-2", 5, 2, true) });
+  guard.Feed(gpHeartbeatReceived{ MakeSuccessor("t-2", 5, 1) });
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  const int starts = guard.starts_;
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == starts);
+}
+
+// Guards against the same, when a later heartbeat was accepted meanwhile.
+BOOST_AUTO_TEST_CASE(AClaimThatIsAnsweredLateDoesNotUndoALaterHeartbeat)
+{
+  GuardOfLostTarget guard;
+  guard.Feed(gpHeartbeatReceived{ MakeSuccessor("t-1", 2, 1) });
+  guard.Feed(gpTargetIdentified{ "t-1", gpOrderReply::Silent, 0 });
+  gpPollReplied answer;
+  answer.sentAt_ = gpTime(gpMillis(1000000));
+  answer.startTime_ = 2;
+  answer.reply_ = gpOrderReply::Accepted;
+  guard.Replace("t-1", 2);
+  guard.Feed(answer);
+  guard.Feed(gpHeartbeatReceived{ MakeSuccessor("t-1", 2, 2, true) });
+  guard.RunFor(gpMillis(200), gpOrderReply::Accepted);
+  const int starts = guard.starts_;
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == starts);
+}
+
+// Guards against a guard whose calls to its target wait behind questions.
+BOOST_AUTO_TEST_CASE(AFloodOfForeignHeartbeatsCausesFewQuestions)
+{
+  constexpr int kMostAsks = 10;
+  GuardWithTarget guard;
+  guard.startTime_ = 1;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  for (int number = 0; number < 1000; ++number) {
+    guard.Feed(gpHeartbeatReceived{
+      MakeSuccessor("t-9" + std::to_string(number), 9, 1) });
+  }
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  BOOST_TEST(guard.asks_ > 0);
+  BOOST_TEST(guard.asks_ <= kMostAsks);
+}
+
+// Guards against a crash that is reported without its runs, or without the one
+// to blame: answers of the next incarnation were taken for the known one's.
+BOOST_AUTO_TEST_CASE(AnswersOfTheNextIncarnationDoNotHideTheLostRuns)
+{
+  for (const bool isStopped : { false, true }) {
+    BOOST_TEST_CONTEXT("a stop is answered first: " << isStopped)
+    {
+      GuardOfLostTarget guard;
+      guard.RunFor(gpMillis(200), gpOrderReply::Silent);
+      guard.Feed(gpMessageReceived{ kLink, gpRunCancel{ { kRun } } });
+      guard.RunFor(gpMillis(50), gpOrderReply::Silent);
+      guard.Replace("t-1", 5);
+      guard.Feed(gpHeartbeatReceived{ MakeSuccessor("t-1", 5, 1) });
+      if (isStopped) {
+        guard.Feed(gpStopReplied{ kRun, gpOrderReply::Accepted, 0 });
+      }
+      guard.RunFor(gpMillis(50), gpOrderReply::Accepted);
+      BOOST_REQUIRE(guard.crashes_.size() == 1U);
+      BOOST_REQUIRE(guard.crashes_[0].runs_.size() == 1U);
+      BOOST_TEST(guard.crashes_[0].runs_[0].suspected_);
+    }
+  }
+}
--- a/Tests/StandIns/gpWorkerStandIn.cxx
+++ b/Tests/StandIns/gpWorkerStandIn.cxx
@@ -12,6 +12,7 @@
 constexpr gpMillis kHeartbeatPeriod{ 200 };
 constexpr gpMillis kPollPeriod{ 5 };
 constexpr int kConflict = 409;
+constexpr int kOtherInstance = 421;
 constexpr std::uint64_t kMilliCores = 4000;
 
 std::uint64_t
@@ -132,6 +133,11 @@
 {
   const boost::json::value parsed = boost::json::parse(aHttp.body_);
   const boost::json::object& body = parsed.as_object();
+  const auto expected = aHttp.headers_.find("gypsumpoint-expected-instance");
+  if (expected != aHttp.headers_.end() && expected->second != target_.GetId()) {
+    server_.Respond(aRequest, MakeOrderResponse(gpOrderReply::OtherTarget));
+    return;
+  }
   if (aHttp.target_ == "/v1/run-start") {
     gpHttpResponse response = OnStart(body);
     if (loseStarts_ > 0) {
@@ -187,7 +193,9 @@
   gpHttpResponse response;
   boost::json::object body{ { "clockMs",
                               target_.GetClock(gpEventLoop::Now()) } };
-  if (aReply != gpOrderReply::Accepted) {
+  if (aReply == gpOrderReply::OtherTarget) {
+    response.status_ = kOtherInstance;
+  } else if (aReply != gpOrderReply::Accepted) {
     response.status_ = kConflict;
     body["reason"] = ReasonOf(aReply);
   }
@@ -199,6 +207,7 @@
 gpWorkerStandIn::OnHold(gpRequestId aRequest, const boost::json::object& aBody)
 {
   gpPollTarget poll;
+  poll.target_ = target_.GetId();
   poll.fence_ = FenceOf(aBody);
   poll.seenEnds_ = aBody.at("ackCursor").to_number<std::uint64_t>();
   if (const auto* end = aBody.if_contains("deadlineMs")) {
