Tests: Let the stand-in of a worker tell which incarnation it is

The entry refused 69390 jobs with no_target, and both guards had takes_work false.

Ruled out: the heartbeats, as both targets were announced without a bad_input.

Now the stand-in reads Gypsumpoint-Expected-Instance and answers 421 to any other, as the platform does.

Run after: 13 of the 14 cases of gpTestPlatformCluster pass.

--- a/Tests/StandIns/gpWorkerStandIn.cxx
+++ b/Tests/StandIns/gpWorkerStandIn.cxx
@@ -12,6 +12,7 @@
 constexpr gpMillis kHeartbeatPeriod{ 200 };
 constexpr gpMillis kPollPeriod{ 5 };
 constexpr int kConflict = 409;
+constexpr int kOtherInstance = 421;
 constexpr std::uint64_t kMilliCores = 4000;
 
 std::uint64_t
@@ -76,7 +77,11 @@
 absl::StatusOr<gpAddress>
 gpWorkerStandIn::Listen(const gpAddress& aAddress)
 {
-  return server_.Listen(aAddress);
+  absl::StatusOr<gpAddress> address = server_.Listen(aAddress);
+  if (address.ok()) {
+    address_ = *address;
+  }
+  return address;
 }
 
 absl::Status
@@ -115,6 +120,11 @@
   request.target_ = "/v1/instances/" + target_.GetId();
   request.body_ = boost::json::serialize(boost::json::object{
     { "service", "ponds" },
+    { "address", address_.value_ },
+    { "zone", "erie-floor" },
+    { "version", "v1" },
+    { "slots", 8 },
+    { "coldLeftMs", 0 },
     { "state", draining_ ? "draining" : "ready" },
     { "capacity", { { "cpu", kMilliCores }, { "memMb", 1024 }, { "gpu", 0 } } },
     { "labels", { "a", "r1-1" } },
@@ -132,6 +142,11 @@
 {
   const boost::json::value parsed = boost::json::parse(aHttp.body_);
   const boost::json::object& body = parsed.as_object();
+  const auto expected = aHttp.headers_.find("gypsumpoint-expected-instance");
+  if (expected != aHttp.headers_.end() && expected->second != target_.GetId()) {
+    server_.Respond(aRequest, MakeOrderResponse(gpOrderReply::OtherTarget));
+    return;
+  }
   if (aHttp.target_ == "/v1/run-start") {
     gpHttpResponse response = OnStart(body);
     if (loseStarts_ > 0) {
@@ -187,7 +202,9 @@
   gpHttpResponse response;
   boost::json::object body{ { "clockMs",
                               target_.GetClock(gpEventLoop::Now()) } };
-  if (aReply != gpOrderReply::Accepted) {
+  if (aReply == gpOrderReply::OtherTarget) {
+    response.status_ = kOtherInstance;
+  } else if (aReply != gpOrderReply::Accepted) {
     response.status_ = kConflict;
     body["reason"] = ReasonOf(aReply);
   }
@@ -199,6 +216,7 @@
 gpWorkerStandIn::OnHold(gpRequestId aRequest, const boost::json::object& aBody)
 {
   gpPollTarget poll;
+  poll.target_ = target_.GetId();
   poll.fence_ = FenceOf(aBody);
   poll.seenEnds_ = aBody.at("ackCursor").to_number<std::uint64_t>();
   if (const auto* end = aBody.if_contains("deadlineMs")) {
--- a/Tests/StandIns/gpWorkerStandIn.h
+++ b/Tests/StandIns/gpWorkerStandIn.h
@@ -57,6 +57,7 @@
   gpHttpServer server_;
   gpHttpClient client_;
   gpSimTarget target_;
+  gpAddress address_;
   gpAddress guard_;
   std::uint64_t sequence_ = 0;
   std::uint64_t loseStarts_ = 0;
