--- a/Source/Guard/gpLeaseGuardProcess.cxx
+++ b/Source/Guard/gpLeaseGuardProcess.cxx
@@ -114,7 +114,7 @@
   response.body_ = "{}";
   if (!call.ok()) {
     const gpErrorCode code = gpErrorCodeOf(call.status());
-    NoteBadInput(code);
+    NoteBadInput(call.status());
     response.status_ = code == gpErrorCode::NotFound ? kNotFound : kBadRequest;
     heartbeatServer_.Respond(aRequest, std::move(response));
     return;
--- a/Source/Process/gpNode.cxx
+++ b/Source/Process/gpNode.cxx
@@ -1,5 +1,6 @@
 #include "gpNode.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -15,6 +16,22 @@
 constexpr gpMillis kFlushPause{ 5 };
 /// Period in which the number of dropped events is logged.
 constexpr gpMillis kDroppedReportPeriod{ 1000 };
+/// Longest logged text about invalid input, whose writer may be anybody.
+constexpr std::size_t kMaxBadInputBytes = 200;
+
+/// The start of a text, with anything but visible ASCII replaced: a cut or
+/// broken UTF-8 sequence would make the line of the log unreadable.
+std::string
+Shorten(const std::string& aText)
+{
+  std::string text = aText.substr(0, kMaxBadInputBytes);
+  std::replace_if(
+    text.begin(),
+    text.end(),
+    [](char aCharacter) { return aCharacter < ' ' || aCharacter > '~'; },
+    '?');
+  return text;
+}
 
 gpIncarnation
 DrawIncarnation()
@@ -183,6 +200,16 @@
   Write(event);
 }
 
+void
+gpNode::NoteBadInput(const absl::Status& aStatus)
+{
+  gpTimelineEvent event;
+  event.kind_ = gpEventKind::BadInput;
+  event.detail_ = std::string(gpErrorName(gpErrorCodeOf(aStatus))) + ": " +
+                  Shorten(gpErrorText(aStatus));
+  Write(event);
+}
+
 void
 gpNode::NoteLogHealth(const absl::Status& aStatus)
 {
--- a/Source/Process/gpNode.h
+++ b/Source/Process/gpNode.h
@@ -57,6 +57,8 @@
   void NoteLinkLost(gpLinkId aLink, gpErrorCode aReason);
   /// Logs input that could not be decoded.
   void NoteBadInput(gpErrorCode aCode);
+  /// Likewise, with the start of the status's text, which names the field.
+  void NoteBadInput(const absl::Status& aStatus);
   /// Logs whether the platform's store, or the log service, is available.
   void NoteLogHealth(const absl::Status& aStatus);
   /// Calls the handler at this time. Replaces the call set before, if any.
--- a/Tests/Integration/Platform/testPlatformCluster.cxx
+++ b/Tests/Integration/Platform/testPlatformCluster.cxx
@@ -70,6 +70,46 @@
   BOOST_TEST(cluster.CountStarts(kJob) == 6U);
 }
 
+BOOST_AUTO_TEST_CASE(AnOddHeartbeatIsLoggedAndChangesNothing)
+{
+  gpPlatformCluster cluster(1, 1);
+  cluster.Configure(1);
+  cluster.WaitUntilReady();
+  const std::string start =
+    R"({"service":"ponds","zone":"z","version":"v","slots":1,"state":"ready",)"
+    R"("clockMs":1,"sequence":1000,"capacity":)";
+  const std::string address = R"(,"address":"10.0.0.1:80"})";
+  const std::string deep =
+    std::string(100000, '[') + std::string(100000, ']') + address;
+  const std::string badPort = R"({"cpu":1},"address":"10.0.0.1:65536"})";
+  const std::vector<std::pair<std::string, std::string>> odd = {
+    { start + R"({"cpu":99999999999999})" + address,
+      "capacity: cpu: too large" },
+    { start + badPort, "address: not a host and a port from 1 to 65535" },
+    { start + deep, "not JSON: " },
+  };
+  for (const auto& [body, fault] : odd) {
+    gpHttpRequest request;
+    request.method_ = "PUT";
+    request.target_ = "/v1/instances/i-other";
+    request.body_ = body;
+    gpTestCall call =
+      cluster.Http().Call(cluster.Guard(0).Address("target"), request);
+    BOOST_TEST(gpStatusOf(call.reply_.get()) == 400);
+  }
+  cluster.Guard(0).WaitForEvent(
+    "bad_input", { { "detail", "bad_request: heartbeat: " + odd[0].second } });
+  cluster.Guard(0).WaitForEvent(
+    "bad_input", { { "detail", "bad_request: heartbeat: " + odd[1].second } });
+  const std::string metrics = gpBodyOf(
+    cluster.Http().Get(cluster.Guard(0).Address("status"), "/metrics"));
+  BOOST_TEST(metrics.find(R"(gypsumpoint_events_total{kind="bad_input"} 3)") !=
+             std::string::npos);
+  gpTestCall call = cluster.Submit(0, kJob, 2, gpMillis(30));
+  BOOST_TEST(gpBodyOf(call.reply_.get()) == kCompleted);
+  BOOST_TEST(cluster.Entry(0).CountEvents("link_down") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(AJobWhoseTaskFailsIsFailed)
 {
   gpPlatformCluster cluster(1, 2);
