--- a/Tests/StandIns/gpWorkerStandIn.cxx
+++ b/Tests/StandIns/gpWorkerStandIn.cxx
@@ -77,7 +77,11 @@
 absl::StatusOr<gpAddress>
 gpWorkerStandIn::Listen(const gpAddress& aAddress)
 {
-  return server_.Listen(aAddress);
+  absl::StatusOr<gpAddress> address = server_.Listen(aAddress);
+  if (address.ok()) {
+    address_ = *address;
+  }
+  return address;
 }
 
 absl::Status
@@ -116,6 +120,11 @@
   request.target_ = "/v1/instances/" + target_.GetId();
   request.body_ = boost::json::serialize(boost::json::object{
     { "service", "ponds" },
+    { "address", address_.value_ },
+    { "zone", "erie-floor" },
+    { "version", "v1" },
+    { "slots", 8 },
+    { "coldLeftMs", 0 },
     { "state", draining_ ? "draining" : "ready" },
     { "capacity", { { "cpu", kMilliCores }, { "memMb", 1024 }, { "gpu", 0 } } },
     { "labels", { "a", "r1-1" } },
