Guard: Keep fences near the clock, and reach any that is ahead

The workers refused over 1,000 calls of the new guards for their fence.

Cause: a guard raised its fence by 1,000 at each poll that couldn't be sent, so fences ran minutes ahead of the clock while a target was down. The next guard starts at the time of day, and climbed by 1,000 a refused poll, one in 160 ms.

Now the fence rises by one, by need: for each new life, and once for each time that the target becomes unreachable, as no work is sent until it answers again. A refused poll raises the fence by twice as much as the one before and is followed by the next at once, so 52 refusals reach 2^52, the limit of a climb. Refused starts and stops raise nothing: the poll does it, and many in flight would each double the raise.

Ruled out: a fence that follows the clock (first fence + time since the start): raises come less often than once a millisecond, so it isn't needed; and a guard that was frozen would get ahead of its successor.

--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -437,10 +437,6 @@
     case gpOrderReply::Broken:
       stopper_.Stop(aRun, now_, out_);
       return;
-    case gpOrderReply::Fence:
-      target_.RaiseFence();
-      Finish(id, gpRunEnd::Unhealthy, gpEndEvidence::NotStarted);
-      return;
     case gpOrderReply::Outdated:
       Finish(id, gpRunEnd::Outdated, gpEndEvidence::NotStarted);
       return;
@@ -448,6 +444,8 @@
     case gpOrderReply::NoRoom:
       Finish(id, gpRunEnd::NoRoom, gpEndEvidence::NotStarted);
       return;
+    // The next poll is refused for its fence too if the fence has to be raised.
+    case gpOrderReply::Fence:
     case gpOrderReply::Unhealthy:
     case gpOrderReply::OtherTarget:
     case gpOrderReply::NotSent:
@@ -460,9 +458,6 @@
 gpLeaseGuardReducer::On(const gpStopReplied& aEvent)
 {
   target_.NoteClock(aEvent.clock_, now_);
-  if (aEvent.reply_ == gpOrderReply::Fence) {
-    target_.RaiseFence();
-  }
   stopper_.NoteReply(aEvent, now_);
   crashReporter_.NoteReply(aEvent.reply_, now_);
 }
@@ -481,10 +476,12 @@
     OnNewIncarnation(true);
   }
   crashReporter_.NoteReply(aEvent.reply_, now_);
+  if (aEvent.reply_ == gpOrderReply::Fence) {
+    target_.RaiseFence();
+    pollSchedule_.NoteFenceRefused(aEvent.sentAt_, now_);
+    return;
+  }
   if (aEvent.reply_ != gpOrderReply::Accepted) {
-    if (aEvent.reply_ == gpOrderReply::Fence) {
-      target_.RaiseFence();
-    }
     if (aEvent.reply_ == gpOrderReply::OtherTarget && target_.IsKnown() &&
         !pollSchedule_.HasAnswer() && runs_.IsEmpty() &&
         !stopper_.HasUnknownRuns()) {
@@ -503,6 +500,7 @@
     crashReporter_.NoteAlive(aEvent.sentAt_, out_);
   }
   target_.NoteAnswer(now_);
+  target_.NoteFenceTaken();
   const bool hadAnswer = pollSchedule_.HasAnswer();
   pollSchedule_.NoteAnswered(aEvent.sentAt_, now_);
   if (!hadAnswer && pollSchedule_.HasAnswer()) {
--- a/Source/Lease/gpPollSchedule.cxx
+++ b/Source/Lease/gpPollSchedule.cxx
@@ -12,6 +12,9 @@
 /// The pause grows only after so many consecutive failures, as single answers
 /// may be lost.
 constexpr int kFailuresBeforeBackoff = 3;
+/// So many refusals for the fence are followed by a poll at once: more than the
+/// fence needs to reach its limit, as each one doubles the raise.
+constexpr int kMostFastRefusals = 60;
 
 } // namespace
 
@@ -35,6 +38,22 @@
   answered_ = true;
   nextAt_ = aNow;
   failures_ = 0;
+  refusals_ = 0;
+}
+
+void
+gpPollSchedule::NoteFenceRefused(gpTime aSentAt, gpTime aNow)
+{
+  if (!IsCurrent(aSentAt)) {
+    return;
+  }
+  if (refusals_ >= kMostFastRefusals) {
+    NoteFailed(aSentAt, aNow);
+    return;
+  }
+  ++refusals_;
+  isInFlight_ = false;
+  nextAt_ = aNow;
 }
 
 void
@@ -65,4 +84,5 @@
   answered_ = false;
   nextAt_ = aNow;
   failures_ = 0;
+  refusals_ = 0;
 }
--- a/Source/Lease/gpPollSchedule.h
+++ b/Source/Lease/gpPollSchedule.h
@@ -4,8 +4,9 @@
 
 /** \class gpPollSchedule
  * \brief When a guard polls its target next: there is one poll in flight at a
- * time; the next one follows at once after an answer, and after a growing pause
- * (exponential backoff) while polls fail.
+ * time; the next one follows at once after an answer, also after one that
+ * refuses the fence, and after a growing pause (exponential backoff) while
+ * polls fail.
  */
 class gpPollSchedule
 {
@@ -21,7 +22,7 @@
 
   /// Whether the last poll failed. The next one then asks for an immediate
   /// answer, so that its loss is noticed soon.
-  bool HasFailed() const { return failures_ > 0; }
+  bool HasFailed() const { return failures_ > 0 || refusals_ > 0; }
 
   /// Whether a poll sent at aSentAt was sent to this incarnation.
   bool IsCurrent(gpTime aSentAt) const { return aSentAt >= restartedAt_; }
@@ -31,6 +32,9 @@
   void NoteAnswered(gpTime aSentAt, gpTime aNow);
   /// The poll sent at aSentAt failed or was not answered.
   void NoteFailed(gpTime aSentAt, gpTime aNow);
+  /// The target refused the fence of the poll sent at aSentAt. The next one
+  /// follows at once, up to a limit.
+  void NoteFenceRefused(gpTime aSentAt, gpTime aNow);
   /// The target sent a heartbeat, so it's reachable: a long backoff pause ends.
   void NoteHeartbeat(gpTime aNow);
   /// Another incarnation of the target was detected, which has not answered
@@ -45,4 +49,6 @@
   gpTime restartedAt_;
   /// Number of consecutive failed polls.
   int failures_ = 0;
+  /// Number of polls refused for their fence since the last answer.
+  int refusals_ = 0;
 };
--- a/Source/Lease/gpTargetSession.cxx
+++ b/Source/Lease/gpTargetSession.cxx
@@ -30,7 +30,8 @@
   }
   // Orders for the earlier incarnation may still be in flight; the higher fence
   // makes the new one refuse them.
-  RaiseFence();
+  NoteFenceTaken();
+  ++fence_;
   ended_ = false;
   NoteAnswer(aNow);
   reportedStartTime_ = aTarget.startTime_;
@@ -51,10 +52,27 @@
   if (isFirst || !target_.has_value() || target_->startTime_ == aStartTime) {
     return false;
   }
-  RaiseFence();
+  ++fence_;
   return true;
 }
 
+void
+gpTargetSession::RaiseFence()
+{
+  if (fence_ < kHighestClimb) {
+    fence_ = std::min(fence_ + climbStep_, kHighestClimb);
+    climbStep_ *= 2;
+  }
+}
+
+void
+gpTargetSession::NoteFenceTaken()
+{
+  if (std::exchange(climbStep_, 1) > 1) {
+    fence_ += kUnseenRaises;
+  }
+}
+
 void
 gpTargetSession::NoteRestartedUnderSameId(gpTime aNow)
 {
--- a/Source/Lease/gpTargetSession.h
+++ b/Source/Lease/gpTargetSession.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "gpLeaseEvent.h"
 
@@ -13,7 +14,8 @@
 class gpTargetSession
 {
 public:
-  /// aFence must be higher than any fence of earlier incarnations of the guard.
+  /// aFence should be higher than any fence of earlier incarnations of the
+  /// guard, so that the target takes it at once; see RaiseFence.
   explicit gpTargetSession(std::uint64_t aFence)
     : fence_(aFence)
   {
@@ -42,20 +44,27 @@
   }
   /// A call could not be sent, as the target has ended or is unreachable.
   /// Raises the fence, so that calls still in flight are refused, also by the
-  /// target's next incarnation.
+  /// target's next incarnation. No work is sent before the target has answered
+  /// again, so one raise is enough until then.
   void NoteUnreachable()
   {
-    isReachable_ = false;
-    RaiseFence();
+    if (std::exchange(isReachable_, false)) {
+      ++fence_;
+    }
   }
-  void RaiseFence() { fence_ += kFenceStep; }
+  /// The target refused a call, as it has seen a higher fence. Each refusal in
+  /// a row doubles the raise, so that few calls cover any distance.
+  void RaiseFence();
+  /// The target took a call with the present fence. After refusals, the fence
+  /// is raised once more.
+  void NoteFenceTaken();
   /// The known incarnation does not exist any more; the next heartbeat names
   /// the present one.
   void Forget()
   {
     target_.reset();
     reportedStartTime_ = 0;
-    RaiseFence();
+    ++fence_;
   }
   /// The target announced that it ends.
   void NoteEnded() { ended_ = true; }
@@ -85,7 +94,13 @@
   bool HasLeaseExpired(gpTime aNow) const { return aNow >= leaseExpiresAt_; }
 
 private:
-  static constexpr std::uint64_t kFenceStep = 1000;
+  /// Refusals raise the fence up to this limit. All integers up to twice the
+  /// limit are exact in JSON, and the other raises can't use up that room.
+  static constexpr std::uint64_t kHighestClimb = 1ULL << 52U;
+  /// How much higher than what the target has seen the fences of calls may be
+  /// that an earlier incarnation of the guard has left in flight: it raised its
+  /// fence by one a few times at most before the target took it.
+  static constexpr std::uint64_t kUnseenRaises = 16;
   /// Longer than several polls take, so that single lost answers are tolerated.
   static constexpr gpMillis kLongestSilence{ 450 };
 
@@ -93,6 +108,8 @@
   /// Start time of the incarnation in the target's last answer; 0 if none.
   std::uint64_t reportedStartTime_ = 0;
   std::uint64_t fence_;
+  /// By how much the next refusal raises the fence.
+  std::uint64_t climbStep_ = 1;
   std::uint64_t clock_ = 0;
   gpTime clockAt_;
   gpTime leaseExpiresAt_;
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -117,15 +117,34 @@
   std::uint64_t startTime_ = 0;
   /// The runs that answers to polls list.
   std::vector<gpRunId> running_;
+  /// The fence of the last poll.
+  std::uint64_t polledFence_ = 0;
+  /// The highest fence that the target has seen. It refuses lower ones.
+  std::uint64_t seenFence_ = 0;
 
 private:
+  /// The reply to a call with this fence that would be answered with aReply.
+  gpOrderReply CheckFence(std::uint64_t aFence, gpOrderReply aReply)
+  {
+    if (aReply != gpOrderReply::Accepted) {
+      return aReply;
+    }
+    if (aFence < seenFence_) {
+      return gpOrderReply::Fence;
+    }
+    seenFence_ = aFence;
+    return aReply;
+  }
+
   void Answer(const gpLeaseEffect& aCall, gpOrderReply aReply)
   {
     if (const auto* stop = std::get_if<gpStopRun>(&aCall)) {
       ++stops_;
-      Feed(gpStopReplied{ stop->run_, aReply, 0 });
+      const gpOrderReply reply = CheckFence(stop->fence_, aReply);
+      Feed(gpStopReplied{ stop->run_, reply, 0 });
     } else if (const auto* start = std::get_if<gpStartRun>(&aCall)) {
-      Feed(gpStartReplied{ start->run_, aReply, 0 });
+      const gpOrderReply reply = CheckFence(start->fence_, aReply);
+      Feed(gpStartReplied{ start->run_, reply, 0 });
     } else if (const auto* call = std::get_if<gpIdentifyTarget>(&aCall)) {
       const bool isOther = aReply == gpOrderReply::Accepted && call->id_ != id_;
       Feed(gpTargetIdentified{
@@ -135,7 +154,8 @@
       gpPollReplied seen;
       seen.sentAt_ = now_;
       seen.startTime_ = startTime_;
-      seen.reply_ = aReply;
+      polledFence_ = std::get<gpPollTarget>(aCall).fence_;
+      seen.reply_ = CheckFence(polledFence_, aReply);
       seen.running_ = running_;
       Feed(seen);
     }
@@ -453,3 +473,65 @@
     }
   }
 }
+
+namespace {
+
+/// How much higher the fence of an earlier guard may be than the first one of
+/// the next guard, as the clock was set back.
+constexpr std::uint64_t kSetBackMs = 3'600'000;
+
+} // namespace
+
+// Guards against a target that gets no work for seconds after a restart of its
+// guard, whose first fence is lower than what the target has seen.
+BOOST_AUTO_TEST_CASE(ANewGuardSoonReachesAFenceThatItsTargetTakes)
+{
+  GuardWithTarget guard;
+  const std::uint64_t former = 1000 + kSetBackMs;
+  guard.seenFence_ = former;
+  guard.RunFor(gpMillis(200), gpOrderReply::Accepted);
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 1);
+  // Higher than calls that the earlier guard may have left in flight.
+  BOOST_TEST(guard.polledFence_ > former + 3);
+  BOOST_TEST(guard.polledFence_ < former + 2 * kSetBackMs);
+  // The climb ends when the target takes the fence.
+  const std::uint64_t reached = guard.polledFence_;
+  guard.RunFor(gpMillis(2000), gpOrderReply::Accepted);
+  BOOST_TEST(guard.polledFence_ == reached);
+}
+
+// Guards against fences that run minutes ahead of the clock while the target is
+// down, so that the next guard's first fence is refused.
+BOOST_AUTO_TEST_CASE(TheFenceDoesNotGrowWithThePollsOfAnUnreachableTarget)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  const std::uint64_t before = guard.polledFence_;
+  guard.RunFor(gpMillis(10000), gpOrderReply::NotSent);
+  BOOST_TEST(guard.polledFence_ > before);
+  BOOST_TEST(guard.polledFence_ <= before + 2);
+}
+
+// Guards against late calls from before a time in which the target was
+// unreachable: each such time needs a higher fence, or the next incarnation
+// carries them out.
+BOOST_AUTO_TEST_CASE(EachTimeThatATargetIsUnreachableRaisesTheFence)
+{
+  GuardWithTarget guard;
+  for (int times = 0; times < 3; ++times) {
+    guard.RunFor(gpMillis(300), gpOrderReply::Accepted);
+    const std::uint64_t before = guard.polledFence_;
+    guard.RunFor(gpMillis(300), gpOrderReply::NotSent);
+    BOOST_TEST(guard.polledFence_ > before);
+  }
+}
+
+// Guards against a target that is flooded with polls, as it takes no fence.
+BOOST_AUTO_TEST_CASE(ATargetThatTakesNoFenceIsPolledAtALimitedRate)
+{
+  constexpr int kFastPolls = 60;
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(2000), gpOrderReply::Fence);
+  BOOST_TEST(guard.polls_ <= kFastPolls + 2 * kMostCallsASecond);
+}
--- a/Tests/Lease/testLeaseParts.cxx
+++ b/Tests/Lease/testLeaseParts.cxx
@@ -373,6 +373,26 @@
   BOOST_TEST(session.IsConfirmed());
 }
 
+// Guards against a fence that overflows, or that JSON can't express exactly,
+// after many refusals.
+BOOST_AUTO_TEST_CASE(RefusalsRaiseTheFenceToALimitThatLeavesRoom)
+{
+  constexpr std::uint64_t kExactInJson = (1ULL << 53U) - 1;
+  constexpr std::uint64_t kClimbed = 1ULL << 50U;
+  gpTargetSession session(1);
+  for (int refusals = 0; refusals < 60; ++refusals) {
+    session.RaiseFence();
+  }
+  BOOST_TEST(session.GetFence() > kClimbed);
+  for (int refusals = 0; refusals < 1000; ++refusals) {
+    session.RaiseFence();
+  }
+  BOOST_TEST(session.GetFence() < kExactInJson);
+  const std::uint64_t fence = session.GetFence();
+  session.NoteUnreachable();
+  BOOST_TEST(session.GetFence() > fence);
+}
+
 BOOST_AUTO_TEST_CASE(StepsWaitForTheStepsTheyDependOn)
 {
   gpLeaseJobTable jobs;
