Guard: Let the lease end a run whose stops get no answer

Cause: the guard repeated the stop without end, and its polls went on renewing the lease that held the run. All bounds counted a stop as done in kStopTime.

Now a guard whose stop has had no answer for kStopPatience (400 ms) neither renews the target's lease nor takes work there (a start extends the lease too), until the stop is answered or the lease has lapsed; then the runs there count as ended. The polls go on and list the ends. So a run ends 400 + 400 + 50 ms after the order to stop it. For a lost link the guard has no patience at all, also for stops under way, so kLinkLossBound stays 850 ms. static_asserts hold both sums, with a pause of the guard of 300 ms, below the 1,300 ms of a resubmission.

The price: the other runs at such a target end too. Ruled out: a patience for lost links, which the entries would have to wait for before they place anew; a stop that is given up, as nothing shows that the run has ended.

--- a/Source/Lease/gpEndEvidence.h
+++ b/Source/Lease/gpEndEvidence.h
@@ -10,7 +10,7 @@
   NotListed,      ///< the target would list it if it were running
   NotStarted,     ///< the target refused the start, or it was never sent
   TargetReplaced, ///< the target's incarnation has ended
-  LeaseExpired,   ///< the target was silent until its lease expired
+  LeaseExpired,   ///< the target's lease was not renewed until it expired
 };
 
 /// The name in logs, such as "lease_expired".
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -78,7 +78,7 @@
   for (const gpLinkId link : links_.CloseAll(now_)) {
     out_.Add(gpCloseLink{ link });
   }
-  stopper_.StopAll(now_, out_);
+  stopper_.StopUnlinkedRuns(now_, out_);
 }
 
 bool
@@ -88,12 +88,18 @@
          now_ - *capacityToldAt_ < kCapacityLifetime;
 }
 
+bool
+gpLeaseGuardReducer::MayRenewLease() const
+{
+  return !target_.IsSilent(now_) && !stopper_.HasOverdue(now_);
+}
+
 bool
 gpLeaseGuardReducer::TakesWork() const
 {
   return target_.IsKnown() && target_.IsConfirmed() &&
          pollSchedule_.HasAnswer() && !stopper_.HasUnknownRuns() &&
-         !target_.IsLeaving() && !target_.IsSilent(now_) &&
+         !target_.IsLeaving() && MayRenewLease() &&
          (capacityEnforced_ || IsCapacityCurrent()) &&
          shutdownEnd_ == gpTime::max();
 }
@@ -520,11 +526,15 @@
 gpLeaseGuardReducer::On(const gpTimePassed&)
 {
   crashReporter_.DropOld(now_);
-  if (target_.IsSilent(now_) && !runs_.IsEmpty() &&
-      target_.HasLeaseExpired(now_)) {
-    WriteTarget(gpEventKind::TargetLeaving,
-                "no answer until its lease expired");
-    crashReporter_.NoteGivenUp();
+  if (!MayRenewLease() && !runs_.IsEmpty() && target_.HasLeaseExpired(now_)) {
+    if (target_.IsSilent(now_)) {
+      WriteTarget(gpEventKind::TargetLeaving,
+                  "no answer until its lease expired");
+      crashReporter_.NoteGivenUp();
+    } else {
+      WriteTarget(gpEventKind::BadInput,
+                  "no answer to a stop until the lease expired");
+    }
     FinishAll(gpEndEvidence::LeaseExpired);
   }
 }
@@ -551,9 +561,11 @@
   poll.fence_ = target_.GetFence();
   poll.seenEnds_ = seenEnds_;
   poll.wait_ = kIdlePollWait;
-  if (!runs_.IsEmpty() && !target_.IsSilent(now_)) {
-    poll.leaseEnd_ = target_.ExtendLease(now_);
+  if (!runs_.IsEmpty()) {
     poll.wait_ = kPollWait;
+    if (MayRenewLease()) {
+      poll.leaseEnd_ = target_.ExtendLease(now_);
+    }
   }
   if (!pollSchedule_.HasAnswer() || pollSchedule_.HasFailed() ||
       stopper_.HasUnknownRuns()) {
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -91,6 +91,9 @@
   /// Whether the target's capacity is known well enough to fill it, if the
   /// target itself doesn't refuse what doesn't fit: it may shrink at any time.
   bool IsCapacityCurrent() const;
+  /// Whether the target's runs may go on. While the target is silent, or a stop
+  /// has no answer for too long, its lease is to end them.
+  bool MayRenewLease() const;
   bool TakesWork() const;
   void StartOne(gpLinkId aLink, const gpRunOrder& aOrder, const gpRunId& aRun);
   /// The call to start the run ended.
@@ -116,7 +119,8 @@
   /// the same.
   void UpdateRecord();
   void Refuse(gpLinkId aLink, const gpRunId& aRun, gpRunEnd aReason);
-  /// Polls the target if a poll is due, and renews its lease if it has runs.
+  /// Polls the target if a poll is due, and renews its lease if it has runs
+  /// that may go on.
   void Poll();
   gpTargetUpdate MakeTargetUpdate() const;
   /// The part of the capacity report that is the same for all entries.
--- a/Source/Lease/gpLeaseTimings.h
+++ b/Source/Lease/gpLeaseTimings.h
@@ -21,6 +21,15 @@
 constexpr gpMillis kLongestLease{ 1000 };
 /// A run ends at most so long after the order to stop it.
 constexpr gpMillis kStopTime{ 50 };
+/// A guard doesn't renew its target's lease while a stop has had no answer for
+/// longer, so that the lease ends the run. The other runs there end with it, so
+/// this is long enough for many tries. While the stops for a lost link have no
+/// answer it doesn't renew the lease at all: kLinkLossBound leaves no time for
+/// it, and the lease outlasts many tries.
+constexpr gpMillis kStopPatience{ 400 };
+/// So long after a guard has received the order to stop a run, the run has
+/// ended, also if its target answers no stop.
+constexpr gpMillis kStopBound = kStopPatience + kLease + kLeaseSlack;
 /// A caller that lost its answer waits at least so long before it submits the
 /// job again.
 constexpr gpMillis kShortestResend{ 1300 };
@@ -40,3 +49,8 @@
 /// before it reads these messages.
 constexpr gpMillis kLongestPause{ 300 };
 static_assert(kLongestPause < kLinkSilence);
+static_assert(kLongestPause + kStopBound < kShortestResend,
+              "a job that was given up must have ended before a resubmission, "
+              "also if its guard paused before it read the order to stop");
+static_assert(kLongestPause + kLinkLossBound < kShortestResend,
+              "likewise if the order was lost with its link");
--- a/Source/Lease/gpRunStopper.cxx
+++ b/Source/Lease/gpRunStopper.cxx
@@ -4,16 +4,27 @@
 
 #include "gpLeaseLogEvents.h"
 
+namespace {
+
+/// The patience for the runs of a lost link; see kStopPatience.
+constexpr gpMillis kNoPatience{ 0 };
+
+} // namespace
+
 void
-gpRunStopper::Stop(gpGuardRun& aRun, gpTime aNow, gpLeaseEffects& aOut)
+gpRunStopper::StopWithin(gpGuardRun& aRun,
+                         gpMillis aPatience,
+                         gpTime aNow,
+                         gpLeaseEffects& aOut)
 {
   if (aRun.phase_ == gpRunPhase::Stopping) {
+    stops_.Hurry(aRun.id_, aNow + aPatience);
     return;
   }
   aRun.phase_ = gpRunPhase::Stopping;
   aRun.visibleSince_.reset();
   Write(aRun.id_, "", aOut);
-  Send(aRun.id_, aNow, aOut);
+  Send(aRun.id_, aPatience, aNow, aOut);
 }
 
 void
@@ -24,13 +35,21 @@
   }
 }
 
+void
+gpRunStopper::StopUnlinkedRuns(gpTime aNow, gpLeaseEffects& aOut)
+{
+  for (const auto& [id, run] : runs_.GetAll()) {
+    StopWithin(*runs_.Find(id), kNoPatience, aNow, aOut);
+  }
+}
+
 void
 gpRunStopper::StopRunsOf(gpIncarnation aOwner,
                          gpTime aNow,
                          gpLeaseEffects& aOut)
 {
   for (const gpRunId& id : runs_.ListRunsOf(aOwner)) {
-    Stop(*runs_.Find(id), aNow, aOut);
+    StopWithin(*runs_.Find(id), kNoPatience, aNow, aOut);
   }
 }
 
@@ -38,7 +57,7 @@
 gpRunStopper::Repeat(gpMillis aPause, gpTime aNow, gpLeaseEffects& aOut)
 {
   for (const gpRunId& run : stops_.ListDue(aNow, aPause)) {
-    Send(run, aNow, aOut);
+    Send(run, kStopPatience, aNow, aOut);
   }
 }
 
@@ -50,7 +69,7 @@
   const auto changes = unknownRuns_.Update(aRunning, runs_);
   for (const gpRunId& id : changes.appeared_) {
     Write(id, "not started by this guard", aOut);
-    Send(id, aNow, aOut);
+    Send(id, kStopPatience, aNow, aOut);
   }
   for (const gpRunId& id : changes.disappeared_) {
     stops_.Forget(id);
@@ -78,10 +97,13 @@
 }
 
 void
-gpRunStopper::Send(const gpRunId& aRun, gpTime aNow, gpLeaseEffects& aOut)
+gpRunStopper::Send(const gpRunId& aRun,
+                   gpMillis aPatience,
+                   gpTime aNow,
+                   gpLeaseEffects& aOut)
 {
   if (target_.IsKnown()) {
-    stops_.NoteSent(aRun, aNow);
+    stops_.NoteSent(aRun, aNow, aNow + aPatience);
     aOut.Add(gpStopRun{ target_.Get().id_, aRun, target_.GetFence() });
   }
 }
--- a/Source/Lease/gpRunStopper.h
+++ b/Source/Lease/gpRunStopper.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "gpLeaseEvent.h"
+#include "gpLeaseTimings.h"
 #include "gpPendingStops.h"
 #include "gpRunTable.h"
 #include "gpTargetSession.h"
@@ -29,9 +30,14 @@
   }
 
   /// Stops a run that may be running, or ensures that it never starts.
-  void Stop(gpGuardRun& aRun, gpTime aNow, gpLeaseEffects& aOut);
+  void Stop(gpGuardRun& aRun, gpTime aNow, gpLeaseEffects& aOut)
+  {
+    StopWithin(aRun, kStopPatience, aNow, aOut);
+  }
   void StopAll(gpTime aNow, gpLeaseEffects& aOut);
-  /// Stops all runs of one entry.
+  /// Stops all runs, as their links were closed.
+  void StopUnlinkedRuns(gpTime aNow, gpLeaseEffects& aOut);
+  /// Stops all runs of one entry, as its link was lost.
   void StopRunsOf(gpIncarnation aOwner, gpTime aNow, gpLeaseEffects& aOut);
   /// Repeats failed stops; aPause is the pause between two stops of one run.
   void Repeat(gpMillis aPause, gpTime aNow, gpLeaseEffects& aOut);
@@ -45,13 +51,24 @@
   void Forget(const gpRunId& aRun) { stops_.Forget(aRun); }
   /// No run is running at the target any more.
   void Clear();
+  /// Whether a stop has had no answer for so long that the target's lease must
+  /// end the run.
+  bool HasOverdue(gpTime aNow) const { return stops_.HasOverdue(aNow); }
   /// Whether the last poll listed unknown runs.
   bool HasUnknownRuns() const { return !unknownRuns_.IsEmpty(); }
   /// When Repeat is due next; the maximum if no stop has failed.
   gpTime GetNext(gpMillis aPause) const { return stops_.GetNext(aPause); }
 
 private:
-  void Send(const gpRunId& aRun, gpTime aNow, gpLeaseEffects& aOut);
+  /// The stop is overdue if it has no answer after aPatience.
+  void StopWithin(gpGuardRun& aRun,
+                  gpMillis aPatience,
+                  gpTime aNow,
+                  gpLeaseEffects& aOut);
+  void Send(const gpRunId& aRun,
+            gpMillis aPatience,
+            gpTime aNow,
+            gpLeaseEffects& aOut);
   void Write(const gpRunId& aRun, std::string aDetail, gpLeaseEffects& aOut);
 
   gpServiceName service_;
--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -14,6 +14,10 @@
 constexpr std::uint64_t kTargetMilliCores = 4000;
 constexpr std::uint64_t kTaskMilliCores = 1000;
 constexpr std::size_t kTasks = 3;
+/// Runs that don't end by themselves, of 1000, usually and while the time of
+/// stops is what counts.
+constexpr unsigned kFewHangs = 5;
+constexpr unsigned kManyHangs = 100;
 constexpr gpMillis kCallerTimeout{ 1500 };
 constexpr gpMillis kAnswerTimeout{ 60 };
 constexpr gpMillis kHeartbeat{ 500 };
@@ -63,6 +67,7 @@
   records_.resize(options_.guards_);
   waitingPolls_.resize(options_.guards_);
   cutUntil_.resize(options_.guards_);
+  stopsHangUntil_.resize(options_.guards_);
   for (std::size_t index = 0; index < options_.guards_; ++index) {
     StartTarget(index);
     StartGuard(index);
@@ -463,7 +468,7 @@
   gpSimRun run;
   run.run_ = aStart.run_;
   run.fails_ = Chance(20);
-  run.hangs_ = Chance(5);
+  run.hangs_ = Chance(options_.hangingStops_ ? kManyHangs : kFewHangs);
   run.needs_ = needs_[aStart.run_];
   gpMillis length(10 + Draw(300));
   if (deadly_.Contains(run.run_.task_)) {
@@ -516,7 +521,7 @@
              ? gpOrderReply::NotSent
              : target->Stop(aStop, now_);
   };
-  if (Chance(options_.lostOrders_)) {
+  if (now_ < stopsHangUntil_[aGuard] || Chance(options_.lostOrders_)) {
     if (Chance(500)) {
       At(now_ + gpMillis(2000 + Draw(10000)), [carry] { carry(); });
     }
@@ -738,7 +743,8 @@
   if (now_ >= end_) {
     return;
   }
-  switch (Draw(options_.targetCuts_ ? 8 : 7)) {
+  const bool isLong = options_.targetCuts_ || options_.hangingStops_;
+  switch (Draw(isLong ? 8 : 7)) {
     case 0:
       BreakLink(false);
       break;
@@ -761,7 +767,11 @@
       CrashTarget(Draw(guards_.size()), gpMillis(50 + Draw(800)));
       break;
     default:
-      CutTarget(Draw(guards_.size()));
+      if (options_.hangingStops_) {
+        HangStops(Draw(guards_.size()));
+      } else {
+        CutTarget(Draw(guards_.size()));
+      }
       break;
   }
   const auto most = static_cast<std::size_t>(2 * options_.faultPause_.count());
@@ -911,6 +921,12 @@
   cutUntil_[aGuard] = now_ + gpMillis(20 + Draw(2000));
 }
 
+void
+gpLeaseHistory::HangStops(std::size_t aGuard)
+{
+  stopsHangUntil_[aGuard] = now_ + gpMillis(200 + Draw(2800));
+}
+
 void
 gpLeaseHistory::Check()
 {
--- a/Tests/Lease/gpLeaseHistory.h
+++ b/Tests/Lease/gpLeaseHistory.h
@@ -35,6 +35,9 @@
   unsigned lostOrders_ = 40;
   /// Whether targets are unreachable for some time while they run.
   bool targetCuts_ = false;
+  /// Whether the stops of targets get no answer for some time, in place of
+  /// targetCuts_. More runs don't end by themselves then.
+  bool hangingStops_ = false;
   /// Whether the capacities of targets shrink and grow while they run.
   bool capacityChanges_ = false;
   /// Jobs of the second queue, of 1000, with a task that crashes each target
@@ -199,6 +202,8 @@
   void ChangeCapacity(std::size_t aGuard);
   /// Checks that a run which has just started fits into its target.
   void CheckCapacity(std::size_t aGuard);
+  /// Leaves the stops of the target without an answer for a random time.
+  void HangStops(std::size_t aGuard);
   bool IsCut(std::size_t aGuard) const { return now_ < cutUntil_[aGuard]; }
   /// One end of a link learns that the link is lost.
   void LoseEnd(std::uint64_t aLink, int aEnd, gpErrorCode aReason);
@@ -228,6 +233,7 @@
   std::uint64_t lastPoll_ = 0;
   /// Until when each target is unreachable.
   std::vector<gpTime> cutUntil_;
+  std::vector<gpTime> stopsHangUntil_;
   std::map<std::uint64_t, Link> links_;
   std::uint64_t lastLink_ = 0;
   std::uint64_t lastIncarnation_ = 1;
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -1,9 +1,12 @@
 #define BOOST_TEST_MODULE gpLeaseGuard
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
+#include <string>
 #include <utility>
 
 #include "gpLeaseGuardReducer.h"
+#include "gpLeaseTimings.h"
 
 namespace {
 
@@ -44,12 +47,18 @@
   struct WithoutHeartbeat
   {};
   explicit GuardWithTarget(WithoutHeartbeat /*aTag*/)
+  {
+    Link(kLink, gpIncarnation(7), "entry:1");
+  }
+
+  /// Links the guard with an entry.
+  void Link(gpLinkId aLink, gpIncarnation aEntry, const std::string& aAddress)
   {
     gpLinkOpened opened;
-    opened.link_ = kLink;
+    opened.link_ = aLink;
     opened.peer_.role_ = gpRole::Entry;
-    opened.peer_.incarnation_ = gpIncarnation(7);
-    opened.dialed_ = gpAddress("entry:1");
+    opened.peer_.incarnation_ = aEntry;
+    opened.dialed_ = gpAddress(aAddress);
     Feed(opened);
   }
 
@@ -61,6 +70,8 @@
           std::holds_alternative<gpIdentifyTarget>(effect) ||
           std::holds_alternative<gpStartRun>(effect)) {
         starts_ += std::holds_alternative<gpStartRun>(effect) ? 1 : 0;
+        const auto* poll = std::get_if<gpPollTarget>(&effect);
+        renewals_ += poll != nullptr && poll->leaseEnd_.has_value() ? 1 : 0;
         calls_.push_back(std::move(effect));
       } else if (std::holds_alternative<gpCloseLink>(effect)) {
         ++closedLinks_;
@@ -78,13 +89,14 @@
   bool KnowsTarget() const { return guard_.GetStatus().targetKnown_; }
 
   /// aEnforced tells the guard that the target itself refuses what doesn't fit.
-  void StartRun(bool aEnforced = true)
+  void StartRun(bool aEnforced = true) { Order(kLink, kRun, aEnforced); }
+  void Order(gpLinkId aLink, const gpRunId& aRun, bool aEnforced = true)
   {
     gpRunOrder order;
     order.capacityEnforced_ = aEnforced;
-    order.runs_.push_back(kRun);
+    order.runs_.push_back(aRun);
     order.needs_ = { 1000, 0, 0 };
-    Feed(gpMessageReceived{ kLink, order });
+    Feed(gpMessageReceived{ aLink, order });
   }
 
   /// Answers all calls with aReply, each after kRoundTrip, for aTime.
@@ -117,6 +129,10 @@
   std::uint64_t startTime_ = 0;
   /// The runs that answers to polls list.
   std::vector<gpRunId> running_;
+  /// The reply to stops, if it's another one than that to the other calls.
+  std::optional<gpOrderReply> stopReply_;
+  /// Polls that renewed the lease.
+  int renewals_ = 0;
   /// The fence of the last poll.
   std::uint64_t polledFence_ = 0;
   /// The highest fence that the target has seen. It refuses lower ones.
@@ -140,7 +156,8 @@
   {
     if (const auto* stop = std::get_if<gpStopRun>(&aCall)) {
       ++stops_;
-      const gpOrderReply reply = CheckFence(stop->fence_, aReply);
+      const gpOrderReply reply =
+        CheckFence(stop->fence_, stopReply_.value_or(aReply));
       Feed(gpStopReplied{ stop->run_, reply, 0 });
     } else if (const auto* start = std::get_if<gpStartRun>(&aCall)) {
       const gpOrderReply reply = CheckFence(start->fence_, aReply);
@@ -535,3 +552,105 @@
   guard.RunFor(gpMillis(2000), gpOrderReply::Fence);
   BOOST_TEST(guard.polls_ <= kFastPolls + 2 * kMostCallsASecond);
 }
+
+namespace {
+
+/// A guard with a run of each of two entries at a target that answers polls and
+/// starts, but no stops.
+class GuardWithoutStops : public GuardWithTarget
+{
+public:
+  GuardWithoutStops()
+  {
+    Link(kOtherLink, gpIncarnation(8), "entry:2");
+    RunFor(gpMillis(20), gpOrderReply::Accepted);
+    StartRun();
+    Order(kOtherLink, kOtherRun);
+    running_ = { kRun, kOtherRun };
+    RunFor(gpMillis(20), gpOrderReply::Accepted);
+    stopReply_ = gpOrderReply::Silent;
+  }
+
+  void Cancel() { Feed(gpMessageReceived{ kLink, gpRunCancel{ { kRun } } }); }
+  void LoseLink() { Feed(gpLinkLost{ .link_ = kLink }); }
+  /// Counts the renewals and starts of the next time.
+  void RunAndCount(gpMillis aTime)
+  {
+    renewals_ = 0;
+    starts_ = 0;
+    RunFor(aTime, gpOrderReply::Accepted);
+    Order(kOtherLink, kNextRun);
+  }
+
+  const gpLinkId kOtherLink{ 2 };
+  const gpRunId kOtherRun{ "other.0.0.1", 2 };
+  const gpRunId kNextRun{ "next.0.0.1", 3 };
+};
+
+} // namespace
+
+// Guards against a second run of a task at one time: the guard renewed the
+// lease of a run whose stops got no answer, and the job was sent again.
+BOOST_AUTO_TEST_CASE(ARunWhoseStopsGetNoAnswerEndsBeforeAResubmission)
+{
+  GuardWithoutStops guard;
+  guard.Cancel();
+  guard.RunFor(kShortestResend - kLease - kLeaseSlack, gpOrderReply::Accepted);
+  guard.RunAndCount(kLease);
+  BOOST_TEST(guard.renewals_ == 0);
+  // A start would extend the lease too.
+  BOOST_TEST(guard.starts_ == 0);
+}
+
+// Guards against a target that takes no work for good after a stop without an
+// answer.
+BOOST_AUTO_TEST_CASE(ATargetTakesWorkAgainWhenItsLeaseHasEndedTheRun)
+{
+  GuardWithoutStops guard;
+  guard.Cancel();
+  guard.RunFor(gpMillis(500), gpOrderReply::Accepted);
+  guard.running_ = {};
+  guard.RunFor(gpMillis(500), gpOrderReply::Accepted);
+  BOOST_TEST(guard.reports_ == 2);
+  guard.RunAndCount(gpMillis(100));
+  BOOST_TEST(guard.starts_ == 1);
+}
+
+// Guards against a task that its entry places elsewhere kLinkLossBound after
+// the link was lost, while its former run is at work.
+BOOST_AUTO_TEST_CASE(RunsOfALostLinkAreNotRenewedUntilTheirStopsAreAnswered)
+{
+  GuardWithoutStops guard;
+  guard.LoseLink();
+  guard.RunAndCount(gpMillis(200));
+  BOOST_TEST(guard.renewals_ == 0);
+  BOOST_TEST(guard.starts_ == 0);
+  guard.stopReply_.reset();
+  guard.running_ = { guard.kOtherRun };
+  guard.RunFor(gpMillis(50), gpOrderReply::Accepted);
+  guard.RunAndCount(gpMillis(100));
+  BOOST_TEST(guard.renewals_ > 0);
+  BOOST_TEST(guard.starts_ == 1);
+}
+
+// Guards against a run whose stop was under way when its link was lost: the
+// time of the first stop doesn't count then.
+BOOST_AUTO_TEST_CASE(ALostLinkHurriesTheStopsThatAreUnderWay)
+{
+  GuardWithoutStops guard;
+  guard.Cancel();
+  guard.RunFor(gpMillis(50), gpOrderReply::Accepted);
+  guard.LoseLink();
+  guard.RunAndCount(gpMillis(200));
+  BOOST_TEST(guard.renewals_ == 0);
+}
+
+// Guards against innocent runs that end as a few stops got no answer.
+BOOST_AUTO_TEST_CASE(AFewStopsWithoutAnAnswerDoNotEndOtherRuns)
+{
+  GuardWithoutStops guard;
+  guard.Cancel();
+  guard.RunAndCount(gpMillis(300));
+  BOOST_TEST(guard.renewals_ > 0);
+  BOOST_TEST(guard.starts_ == 1);
+}
--- a/Tests/Lease/testLeaseHistories.cxx
+++ b/Tests/Lease/testLeaseHistories.cxx
@@ -127,6 +127,17 @@
   RunHistories(options, 1000);
 }
 
+// Guards against a second run of a task at one time, as its guard renews the
+// lease of the first one while its stops get no answer.
+BOOST_AUTO_TEST_CASE(HistoriesWithHangingStopsKeepThePromises)
+{
+  gpLeaseHistoryOptions options;
+  options.length_ = gpMillis(4000);
+  options.hangingStops_ = true;
+  options.resubmitsFailed_ = true;
+  RunHistories(options, 1000);
+}
+
 // Guards against a second run of a task at one time, after a heartbeat that the
 // target has not written, or not now, was taken for the end of its life.
 BOOST_AUTO_TEST_CASE(HistoriesWithForeignHeartbeatsKeepThePromises)
