--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -78,7 +78,7 @@
   for (const gpLinkId link : links_.CloseAll(now_)) {
     out_.Add(gpCloseLink{ link });
   }
-  stopper_.StopAll(now_, out_);
+  stopper_.StopUnlinkedRuns(now_, out_);
 }
 
 bool
@@ -88,12 +88,18 @@
          now_ - *capacityToldAt_ < kCapacityLifetime;
 }
 
+bool
+gpLeaseGuardReducer::MayRenewLease() const
+{
+  return !target_.IsSilent(now_) && !stopper_.HasOverdue(now_);
+}
+
 bool
 gpLeaseGuardReducer::TakesWork() const
 {
   return target_.IsKnown() && target_.IsConfirmed() &&
          pollSchedule_.HasAnswer() && !stopper_.HasUnknownRuns() &&
-         !target_.IsLeaving() && !target_.IsSilent(now_) &&
+         !target_.IsLeaving() && MayRenewLease() &&
          (capacityEnforced_ || IsCapacityCurrent()) &&
          shutdownEnd_ == gpTime::max();
 }
@@ -455,10 +461,6 @@
     case gpOrderReply::Broken:
       stopper_.Stop(aRun, now_, out_);
       return;
-    case gpOrderReply::Fence:
-      target_.RaiseFence();
-      Finish(id, gpRunEnd::Unhealthy, gpEndEvidence::NotStarted);
-      return;
     case gpOrderReply::Outdated:
       Finish(id, gpRunEnd::Outdated, gpEndEvidence::NotStarted);
       return;
@@ -466,6 +468,8 @@
     case gpOrderReply::NoRoom:
       Finish(id, gpRunEnd::NoRoom, gpEndEvidence::NotStarted);
       return;
+    // The next poll is refused for its fence too if the fence has to be raised.
+    case gpOrderReply::Fence:
     case gpOrderReply::Unhealthy:
     case gpOrderReply::OtherTarget:
     case gpOrderReply::NotSent:
@@ -478,9 +482,6 @@
 gpLeaseGuardReducer::On(const gpStopReplied& aEvent)
 {
   target_.NoteClock(aEvent.clock_, now_);
-  if (aEvent.reply_ == gpOrderReply::Fence) {
-    target_.RaiseFence();
-  }
   stopper_.NoteReply(aEvent, now_);
   NoteReply(aEvent.reply_);
 }
@@ -511,10 +512,12 @@
   } else {
     NoteReply(aEvent.reply_);
   }
+  if (aEvent.reply_ == gpOrderReply::Fence) {
+    target_.RaiseFence();
+    pollSchedule_.NoteFenceRefused(aEvent.sentAt_, now_);
+    return;
+  }
   if (aEvent.reply_ != gpOrderReply::Accepted) {
-    if (aEvent.reply_ == gpOrderReply::Fence) {
-      target_.RaiseFence();
-    }
     if (aEvent.reply_ == gpOrderReply::OtherTarget && target_.IsKnown() &&
         !pollSchedule_.HasAnswer() && runs_.IsEmpty() &&
         !stopper_.HasUnknownRuns()) {
@@ -533,6 +536,7 @@
     crashReporter_.NoteAlive(aEvent.sentAt_, out_);
   }
   target_.NoteAnswer(now_);
+  target_.NoteFenceTaken();
   const bool hadAnswer = pollSchedule_.HasAnswer();
   pollSchedule_.NoteAnswered(aEvent.sentAt_, now_);
   if (!hadAnswer && pollSchedule_.HasAnswer()) {
@@ -552,11 +556,15 @@
 gpLeaseGuardReducer::On(const gpTimePassed&)
 {
   crashReporter_.DropOld(now_);
-  if (target_.IsSilent(now_) && !runs_.IsEmpty() &&
-      target_.HasLeaseExpired(now_)) {
-    WriteTarget(gpEventKind::TargetLeaving,
-                "no answer until its lease expired");
-    crashReporter_.NoteGivenUp();
+  if (!MayRenewLease() && !runs_.IsEmpty() && target_.HasLeaseExpired(now_)) {
+    if (target_.IsSilent(now_)) {
+      WriteTarget(gpEventKind::TargetLeaving,
+                  "no answer until its lease expired");
+      crashReporter_.NoteGivenUp();
+    } else {
+      WriteTarget(gpEventKind::BadInput,
+                  "no answer to a stop until the lease expired");
+    }
     FinishAll(gpEndEvidence::LeaseExpired);
   }
 }
@@ -583,9 +591,11 @@
   poll.fence_ = target_.GetFence();
   poll.seenEnds_ = seenEnds_;
   poll.wait_ = kIdlePollWait;
-  if (!runs_.IsEmpty() && !target_.IsSilent(now_)) {
-    poll.leaseEnd_ = target_.ExtendLease(now_);
+  if (!runs_.IsEmpty()) {
     poll.wait_ = kPollWait;
+    if (MayRenewLease()) {
+      poll.leaseEnd_ = target_.ExtendLease(now_);
+    }
   }
   if (!pollSchedule_.HasAnswer() || pollSchedule_.HasFailed() ||
       stopper_.HasUnknownRuns()) {
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -1,9 +1,12 @@
 #define BOOST_TEST_MODULE gpLeaseGuard
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
+#include <string>
 #include <utility>
 
 #include "gpLeaseGuardReducer.h"
+#include "gpLeaseTimings.h"
 
 namespace {
 
@@ -44,12 +47,18 @@
   struct WithoutHeartbeat
   {};
   explicit GuardWithTarget(WithoutHeartbeat /*aTag*/)
+  {
+    Link(kLink, gpIncarnation(7), "entry:1");
+  }
+
+  /// Links the guard with an entry.
+  void Link(gpLinkId aLink, gpIncarnation aEntry, const std::string& aAddress)
   {
     gpLinkOpened opened;
-    opened.link_ = kLink;
+    opened.link_ = aLink;
     opened.peer_.role_ = gpRole::Entry;
-    opened.peer_.incarnation_ = gpIncarnation(7);
-    opened.dialed_ = gpAddress("entry:1");
+    opened.peer_.incarnation_ = aEntry;
+    opened.dialed_ = gpAddress(aAddress);
     Feed(opened);
   }
 
@@ -61,6 +70,8 @@
           std::holds_alternative<gpIdentifyTarget>(effect) ||
           std::holds_alternative<gpStartRun>(effect)) {
         starts_ += std::holds_alternative<gpStartRun>(effect) ? 1 : 0;
+        const auto* poll = std::get_if<gpPollTarget>(&effect);
+        renewals_ += poll != nullptr && poll->leaseEnd_.has_value() ? 1 : 0;
         calls_.push_back(std::move(effect));
       } else if (std::holds_alternative<gpCloseLink>(effect)) {
         ++closedLinks_;
@@ -78,13 +89,14 @@
   bool KnowsTarget() const { return guard_.GetStatus().targetKnown_; }
 
   /// aEnforced tells the guard that the target itself refuses what doesn't fit.
-  void StartRun(bool aEnforced = true)
+  void StartRun(bool aEnforced = true) { Order(kLink, kRun, aEnforced); }
+  void Order(gpLinkId aLink, const gpRunId& aRun, bool aEnforced = true)
   {
     gpRunOrder order;
     order.capacityEnforced_ = aEnforced;
-    order.runs_.push_back(kRun);
+    order.runs_.push_back(aRun);
     order.needs_ = { 1000, 0, 0 };
-    Feed(gpMessageReceived{ kLink, order });
+    Feed(gpMessageReceived{ aLink, order });
   }
 
   /// Answers all calls with aReply, each after kRoundTrip, for aTime.
@@ -119,15 +131,39 @@
   std::uint64_t startTime_ = 0;
   /// The runs that answers to polls list.
   std::vector<gpRunId> running_;
+  /// The reply to stops, if it's another one than that to the other calls.
+  std::optional<gpOrderReply> stopReply_;
+  /// Polls that renewed the lease.
+  int renewals_ = 0;
+  /// The fence of the last poll.
+  std::uint64_t polledFence_ = 0;
+  /// The highest fence that the target has seen. It refuses lower ones.
+  std::uint64_t seenFence_ = 0;
 
 private:
+  /// The reply to a call with this fence that would be answered with aReply.
+  gpOrderReply CheckFence(std::uint64_t aFence, gpOrderReply aReply)
+  {
+    if (aReply != gpOrderReply::Accepted) {
+      return aReply;
+    }
+    if (aFence < seenFence_) {
+      return gpOrderReply::Fence;
+    }
+    seenFence_ = aFence;
+    return aReply;
+  }
+
   void Answer(const gpLeaseEffect& aCall, gpOrderReply aReply)
   {
     if (const auto* stop = std::get_if<gpStopRun>(&aCall)) {
       ++stops_;
-      Feed(gpStopReplied{ stop->run_, aReply, 0 });
+      const gpOrderReply reply =
+        CheckFence(stop->fence_, stopReply_.value_or(aReply));
+      Feed(gpStopReplied{ stop->run_, reply, 0 });
     } else if (const auto* start = std::get_if<gpStartRun>(&aCall)) {
-      Feed(gpStartReplied{ start->run_, aReply, 0 });
+      const gpOrderReply reply = CheckFence(start->fence_, aReply);
+      Feed(gpStartReplied{ start->run_, reply, 0 });
     } else if (const auto* call = std::get_if<gpIdentifyTarget>(&aCall)) {
       ++asks_;
       const bool isOther = aReply == gpOrderReply::Accepted && call->id_ != id_;
@@ -138,7 +174,8 @@
       gpPollReplied seen;
       seen.sentAt_ = now_;
       seen.startTime_ = startTime_;
-      seen.reply_ = aReply;
+      polledFence_ = std::get<gpPollTarget>(aCall).fence_;
+      seen.reply_ = CheckFence(polledFence_, aReply);
       seen.running_ = running_;
       Feed(seen);
     }
@@ -687,3 +724,167 @@
     }
   }
 }
+
+namespace {
+
+/// How much higher the fence of an earlier guard may be than the first one of
+/// the next guard, as the clock was set back.
+constexpr std::uint64_t kSetBackMs = 3'600'000;
+
+} // namespace
+
+// Guards against a target that gets no work for seconds after a restart of its
+// guard, whose first fence is lower than what the target has seen.
+BOOST_AUTO_TEST_CASE(ANewGuardSoonReachesAFenceThatItsTargetTakes)
+{
+  GuardWithTarget guard;
+  const std::uint64_t former = 1000 + kSetBackMs;
+  guard.seenFence_ = former;
+  guard.RunFor(gpMillis(200), gpOrderReply::Accepted);
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 1);
+  // Higher than calls that the earlier guard may have left in flight.
+  BOOST_TEST(guard.polledFence_ > former + 3);
+  BOOST_TEST(guard.polledFence_ < former + 2 * kSetBackMs);
+  // The climb ends when the target takes the fence.
+  const std::uint64_t reached = guard.polledFence_;
+  guard.RunFor(gpMillis(2000), gpOrderReply::Accepted);
+  BOOST_TEST(guard.polledFence_ == reached);
+}
+
+// Guards against fences that run minutes ahead of the clock while the target is
+// down, so that the next guard's first fence is refused.
+BOOST_AUTO_TEST_CASE(TheFenceDoesNotGrowWithThePollsOfAnUnreachableTarget)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  const std::uint64_t before = guard.polledFence_;
+  guard.RunFor(gpMillis(10000), gpOrderReply::NotSent);
+  BOOST_TEST(guard.polledFence_ > before);
+  BOOST_TEST(guard.polledFence_ <= before + 2);
+}
+
+// Guards against late calls from before a time in which the target was
+// unreachable: each such time needs a higher fence, or the next incarnation
+// carries them out.
+BOOST_AUTO_TEST_CASE(EachTimeThatATargetIsUnreachableRaisesTheFence)
+{
+  GuardWithTarget guard;
+  for (int times = 0; times < 3; ++times) {
+    guard.RunFor(gpMillis(300), gpOrderReply::Accepted);
+    const std::uint64_t before = guard.polledFence_;
+    guard.RunFor(gpMillis(300), gpOrderReply::NotSent);
+    BOOST_TEST(guard.polledFence_ > before);
+  }
+}
+
+// Guards against a target that is flooded with polls, as it takes no fence.
+BOOST_AUTO_TEST_CASE(ATargetThatTakesNoFenceIsPolledAtALimitedRate)
+{
+  constexpr int kFastPolls = 60;
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(2000), gpOrderReply::Fence);
+  BOOST_TEST(guard.polls_ <= kFastPolls + 2 * kMostCallsASecond);
+}
+
+namespace {
+
+/// A guard with a run of each of two entries at a target that answers polls and
+/// starts, but no stops.
+class GuardWithoutStops : public GuardWithTarget
+{
+public:
+  GuardWithoutStops()
+  {
+    Link(kOtherLink, gpIncarnation(8), "entry:2");
+    RunFor(gpMillis(20), gpOrderReply::Accepted);
+    StartRun();
+    Order(kOtherLink, kOtherRun);
+    running_ = { kRun, kOtherRun };
+    RunFor(gpMillis(20), gpOrderReply::Accepted);
+    stopReply_ = gpOrderReply::Silent;
+  }
+
+  void Cancel() { Feed(gpMessageReceived{ kLink, gpRunCancel{ { kRun } } }); }
+  void LoseLink() { Feed(gpLinkLost{ .link_ = kLink }); }
+  /// Counts the renewals and starts of the next time.
+  void RunAndCount(gpMillis aTime)
+  {
+    renewals_ = 0;
+    starts_ = 0;
+    RunFor(aTime, gpOrderReply::Accepted);
+    Order(kOtherLink, kNextRun);
+  }
+
+  const gpLinkId kOtherLink{ 2 };
+  const gpRunId kOtherRun{ "other.0.0.1", 2 };
+  const gpRunId kNextRun{ "next.0.0.1", 3 };
+};
+
+} // namespace
+
+// Guards against a second run of a task at one time: the guard renewed the
+// lease of a run whose stops got no answer, and the job was sent again.
+BOOST_AUTO_TEST_CASE(ARunWhoseStopsGetNoAnswerEndsBeforeAResubmission)
+{
+  GuardWithoutStops guard;
+  guard.Cancel();
+  guard.RunFor(kShortestResend - kLease - kLeaseSlack, gpOrderReply::Accepted);
+  guard.RunAndCount(kLease);
+  BOOST_TEST(guard.renewals_ == 0);
+  // A start would extend the lease too.
+  BOOST_TEST(guard.starts_ == 0);
+}
+
+// Guards against a target that takes no work for good after a stop without an
+// answer.
+BOOST_AUTO_TEST_CASE(ATargetTakesWorkAgainWhenItsLeaseHasEndedTheRun)
+{
+  GuardWithoutStops guard;
+  guard.Cancel();
+  guard.RunFor(gpMillis(500), gpOrderReply::Accepted);
+  guard.running_ = {};
+  guard.RunFor(gpMillis(500), gpOrderReply::Accepted);
+  BOOST_TEST(guard.reports_ == 2);
+  guard.RunAndCount(gpMillis(100));
+  BOOST_TEST(guard.starts_ == 1);
+}
+
+// Guards against a task that its entry places elsewhere kLinkLossBound after
+// the link was lost, while its former run is at work.
+BOOST_AUTO_TEST_CASE(RunsOfALostLinkAreNotRenewedUntilTheirStopsAreAnswered)
+{
+  GuardWithoutStops guard;
+  guard.LoseLink();
+  guard.RunAndCount(gpMillis(200));
+  BOOST_TEST(guard.renewals_ == 0);
+  BOOST_TEST(guard.starts_ == 0);
+  guard.stopReply_.reset();
+  guard.running_ = { guard.kOtherRun };
+  guard.RunFor(gpMillis(50), gpOrderReply::Accepted);
+  guard.RunAndCount(gpMillis(100));
+  BOOST_TEST(guard.renewals_ > 0);
+  BOOST_TEST(guard.starts_ == 1);
+}
+
+// Guards against a run whose stop was under way when its link was lost: the
+// time of the first stop doesn't count then.
+BOOST_AUTO_TEST_CASE(ALostLinkHurriesTheStopsThatAreUnderWay)
+{
+  GuardWithoutStops guard;
+  guard.Cancel();
+  guard.RunFor(gpMillis(50), gpOrderReply::Accepted);
+  guard.LoseLink();
+  guard.RunAndCount(gpMillis(200));
+  BOOST_TEST(guard.renewals_ == 0);
+}
+
+// Guards against innocent runs that end as a few stops got no answer.
+BOOST_AUTO_TEST_CASE(AFewStopsWithoutAnAnswerDoNotEndOtherRuns)
+{
+  GuardWithoutStops guard;
+  guard.Cancel();
+  guard.RunAndCount(gpMillis(300));
+  BOOST_TEST(guard.renewals_ > 0);
+  BOOST_TEST(guard.starts_ == 1);
+}
