Entry: Keep a job that has ended from starting again

Seen beside it: a completed job runs a second time likewise.

Cause: EndJob removes the job and keeps nothing, so a repeated request is a new job. A cancel of a job that isn't there was forgotten at once as well, so a request that arrives after its cancel starts.

A repeated request is answered as the first one was, also while no target takes work. A cancel outweighs a completion.

Ruled out: keeping the whole record (some kB a job); one bound for both kinds.

The tests on the code before: ACancelledJobStaysCancelled: entry.ordered_.size() == 1U has failed [2 != 1] AJobThatWasCancelledBeforeItArrivedIsNotStarted: entry.ordered_.empty() has failed ACompletedJobStaysCompleted: entry.ordered_.size() == 1U has failed [2 != 1] ACancelOfACompletedJobIsKept: entry.ordered_.size() == 1U has failed [2 != 1] and now: gpTestLeaseEntry passes (20 cases).

Not covered by this commit: other entries don't know of the end.

--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -111,6 +111,9 @@
 {
   const gpQueue* queue = queues_.Find(aEvent.job_.host_, aEvent.job_.path_);
   const bool isConfigured = queues_.version_ != gpConfigVersion{};
+  if (queue != nullptr && AnswerEnded(aEvent)) {
+    return;
+  }
   const auto refusal = admission_.FindRefusal(aEvent.job_, queue, isConfigured);
   if (refusal.has_value()) {
     Refuse(aEvent, queue, *refusal);
@@ -156,9 +159,33 @@
   dispatcher_.LogWait(job, now_, out_);
 }
 
+bool
+gpLeaseEntryReducer::AnswerEnded(const gpLeaseJobSubmitted& aEvent)
+{
+  const std::string& id = aEvent.job_.id_;
+  gpLeaseAnswer answer;
+  if (cancelled_.Contains(id, now_)) {
+    answer = { gpLeaseOutcome::Cancelled,
+               gpLeaseReason::CallerGone,
+               std::nullopt };
+  } else if (completed_.Contains(id, now_)) {
+    answer = { gpLeaseOutcome::Completed, gpLeaseReason::None, std::nullopt };
+  } else {
+    return false;
+  }
+  out_.Write(gpJobLogEvent(gpEventKind::JobAnswered,
+                           gpServiceName(),
+                           id,
+                           gpAnswerText(answer) + " as before"));
+  out_.Add(gpAnswerLeaseJob{ aEvent.request_, answer });
+  return true;
+}
+
 void
 gpLeaseEntryReducer::On(const gpLeaseJobCancelled& aEvent)
 {
+  // Also if the job isn't known: its request may arrive later.
+  cancelled_.Add({ aEvent.id_, gpMillis(0) }, now_);
   if (gpLeaseRecord* job = jobs_.FindById(aEvent.id_)) {
     EndJob(
       *job,
@@ -287,6 +314,7 @@
   jobs_.ChangePhase(aJob, aTask, gpLeaseTaskPhase::Done);
   ++aJob.tasksDone_;
   if (aJob.tasksDone_ == aJob.tasks_.size()) {
+    completed_.Add({ aJob.job_.id_, gpMillis(0) }, now_);
     EndJob(aJob,
            { gpLeaseOutcome::Completed, gpLeaseReason::None, std::nullopt });
     return;
@@ -400,6 +428,8 @@
     lag_.NoteTimer(wakeAt_, now_);
   }
   crashes_.DropOld(now_);
+  cancelled_.DropOld(now_);
+  completed_.DropOld(now_);
   crashes_.ReleaseQueues(
     [this](const gpServiceName& aService) {
       return targetTable_.HasTarget(aService, gpPlacementScope::SetApart);
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "gpCrashMonitor.h"
+#include "gpEndedJobs.h"
 #include "gpEntryPeers.h"
 #include "gpLeaseAdmission.h"
 #include "gpLeaseEvent.h"
@@ -94,6 +95,9 @@
   void Refuse(const gpLeaseJobSubmitted& aEvent,
               const gpQueue* aQueue,
               const gpLeaseAnswer& aAnswer);
+  /// Answers a request for a job that has ended; returns false if it isn't
+  /// known to have.
+  bool AnswerEnded(const gpLeaseJobSubmitted& aEvent);
   /// Answers the caller, cancels the job's runs and removes the job.
   void EndJob(gpLeaseRecord& aJob, const gpLeaseAnswer& aAnswer);
   void FailJob(gpLeaseRecord& aJob, gpLeaseReason aReason);
@@ -129,6 +133,8 @@
   gpEntryPeers peers_;
   gpTargetTable targetTable_;
   gpLeaseJobTable jobs_;
+  gpEndedJobs cancelled_;
+  gpEndedJobs completed_;
   gpCrashMonitor crashes_;
   gpLeaseAdmission admission_;
   gpRunDispatcher dispatcher_;
--- a/Source/Lease/gpLeaseTimings.h
+++ b/Source/Lease/gpLeaseTimings.h
@@ -24,6 +24,9 @@
 /// A caller that lost its answer waits at least so long before it submits the
 /// job again.
 constexpr gpMillis kShortestResend{ 1300 };
+/// A request to submit a job may arrive once more, at any entry, seconds after
+/// it was answered. So long after the job's end at the latest.
+constexpr gpMillis kLatestRepeat{ 10000 };
 /// So long after an entry or a guard has closed a link for silence, all runs
 /// that were ordered on the link have ended: the other side has detected the
 /// silence as well and stopped them, or the target's lease has expired.
--- a/Source/Model/gpRunMessages.h
+++ b/Source/Model/gpRunMessages.h
@@ -135,6 +135,18 @@
   bool operator==(const gpKnownEntry&) const = default;
 };
 
+/** \class gpEndedJob
+ * \brief A best-effort job that has ended for good.
+ */
+struct gpEndedJob
+{
+  std::string id_;
+  /// Time since it ended, or since its end became known.
+  gpMillis age_{ 0 };
+
+  bool operator==(const gpEndedJob&) const = default;
+};
+
 /** \class gpEntryUpdate
  * \brief Entry to any process: entries and crashes that the sender knows. All
  * of them are sent when the link opens, and later each one that the sender
--- a/Tests/Lease/testLeaseEntry.cxx
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "gpLeaseEntryReducer.h"
+#include "gpLeaseTimings.h"
 
 namespace {
 
@@ -84,6 +85,12 @@
     : entry_(Options(aShutdown))
   {
     Feed(gpQueuesChanged{ MakeQueues() });
+    Link();
+  }
+
+  /// The guard links with the entry, and its target is free.
+  void Link()
+  {
     gpLinkOpened opened;
     opened.link_ = kLink;
     opened.peer_.role_ = gpRole::Guard;
@@ -93,6 +100,13 @@
     Feed(gpMessageReceived{ kLink, gpCapacityReport{ { 1000, 0, 0 }, 0 } });
   }
 
+  /// The guard reports that its target is free again.
+  void FreeTarget()
+  {
+    Feed(gpMessageReceived{
+      kLink, gpCapacityReport{ { 1000, 0, 0 }, ordered_.size() } });
+  }
+
   void Feed(decltype(gpLeaseEntryEvent::input_) aInput)
   {
     for (const auto& effect : entry_.Reduce({ now_, std::move(aInput) })) {
@@ -456,3 +470,103 @@
   entry.Pass(gpMillis(1));
   BOOST_TEST(entry.ordered_.size() > before);
 }
+
+// Guards against a cancelled job that starts again when its request arrives
+// once more, seconds after its cancel was acknowledged.
+BOOST_AUTO_TEST_CASE(ACancelledJobStaysCancelled)
+{
+  EntryWithGuard entry;
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("job") });
+  entry.Feed(gpLeaseJobCancelled{ "job" });
+  entry.EndRun(gpRunEnd::Stopped);
+  entry.FreeTarget();
+  entry.Pass(gpMillis(4000));
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(2), MakeJob("job") });
+  BOOST_TEST(entry.ordered_.size() == 1U);
+  BOOST_REQUIRE(entry.answers_.contains(gpRequestId(2)));
+  BOOST_TEST(
+    (entry.answers_.at(gpRequestId(2)).outcome_ == gpLeaseOutcome::Cancelled));
+}
+
+// Guards against a job that starts, as its request arrives after its cancel.
+BOOST_AUTO_TEST_CASE(AJobThatWasCancelledBeforeItArrivedIsNotStarted)
+{
+  EntryWithGuard entry;
+  entry.Feed(gpLeaseJobCancelled{ "job" });
+  entry.Pass(gpMillis(4000));
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("job") });
+  BOOST_TEST(entry.ordered_.empty());
+  BOOST_REQUIRE(entry.answers_.contains(gpRequestId(1)));
+  BOOST_TEST(
+    (entry.answers_.at(gpRequestId(1)).outcome_ == gpLeaseOutcome::Cancelled));
+}
+
+// Guards against a completed job that runs again when its request arrives once
+// more, while no target takes work too.
+BOOST_AUTO_TEST_CASE(ACompletedJobStaysCompleted)
+{
+  EntryWithGuard entry;
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("job") });
+  entry.EndRun(gpRunEnd::Done);
+  entry.FreeTarget();
+  entry.Pass(gpMillis(4000));
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(2), MakeJob("job") });
+  entry.Feed(gpLinkLost{ kLink, gpErrorCode::LinkSilent });
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(3), MakeJob("job") });
+  BOOST_TEST(entry.ordered_.size() == 1U);
+  for (const gpRequestId request : { gpRequestId(2), gpRequestId(3) }) {
+    BOOST_REQUIRE(entry.answers_.contains(request));
+    BOOST_TEST(
+      (entry.answers_.at(request).outcome_ == gpLeaseOutcome::Completed));
+  }
+}
+
+// Guards against a completed job that is answered from memory as completed
+// though its caller has cancelled it since.
+BOOST_AUTO_TEST_CASE(ACancelOfACompletedJobIsKept)
+{
+  EntryWithGuard entry;
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("job") });
+  entry.EndRun(gpRunEnd::Done);
+  entry.FreeTarget();
+  entry.Feed(gpLeaseJobCancelled{ "job" });
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(2), MakeJob("job") });
+  BOOST_TEST(entry.ordered_.size() == 1U);
+  BOOST_REQUIRE(entry.answers_.contains(gpRequestId(2)));
+  BOOST_TEST(
+    (entry.answers_.at(gpRequestId(2)).outcome_ == gpLeaseOutcome::Cancelled));
+}
+
+// Guards against a job that never runs, as a submission of it ended otherwise:
+// its caller left, or was answered that it failed or wasn't run.
+BOOST_AUTO_TEST_CASE(AJobWithoutAResultRunsAgain)
+{
+  EntryWithGuard entry;
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("job") });
+  entry.Feed(gpCallerDisconnected{ gpRequestId(1) });
+  entry.EndRun(gpRunEnd::Stopped);
+  entry.FreeTarget();
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(2), MakeJob("job") });
+  BOOST_TEST(entry.ordered_.size() == 2U);
+  entry.Feed(gpLinkLost{ kLink, gpErrorCode::LinkSilent });
+  entry.Pass(kCallerTimeout);
+  BOOST_REQUIRE(entry.answers_.contains(gpRequestId(2)));
+  BOOST_TEST(
+    (entry.answers_.at(gpRequestId(2)).outcome_ == gpLeaseOutcome::Failed));
+  entry.Link();
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(3), MakeJob("job") });
+  BOOST_TEST(entry.ordered_.size() == 3U);
+}
+
+// Guards against a memory that grows with all jobs ever ended.
+BOOST_AUTO_TEST_CASE(AnEndedJobIsForgottenWhenItsRequestCantArriveAnyMore)
+{
+  EntryWithGuard entry;
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("job") });
+  entry.Feed(gpLeaseJobCancelled{ "job" });
+  entry.EndRun(gpRunEnd::Stopped);
+  entry.FreeTarget();
+  entry.Pass(kLatestRepeat);
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(2), MakeJob("job") });
+  BOOST_TEST(entry.ordered_.size() == 2U);
+}
--- a/Tests/Lease/testLeaseParts.cxx
+++ b/Tests/Lease/testLeaseParts.cxx
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 
+#include "gpEndedJobs.h"
 #include "gpLeaseJobTable.h"
 #include "gpLeaseTimeCheck.h"
 #include "gpLeaseTimings.h"
@@ -468,3 +469,45 @@
     gpCheckLeaseTimes(record, recallAt - gpMillis(1)).stragglers_.empty());
   BOOST_TEST(gpCheckLeaseTimes(record, recallAt).stragglers_.size() == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(AnEndedJobIsKnownForALimitedTime)
+{
+  gpEndedJobs jobs;
+  BOOST_TEST(jobs.Add({ "job", gpMillis(0) }, kNow));
+  BOOST_TEST(!jobs.Add({ "job", gpMillis(0) }, kNow + gpMillis(5)));
+  BOOST_TEST(jobs.Contains("job", kNow + kLatestRepeat - gpMillis(1)));
+  BOOST_TEST(!jobs.Contains("other", kNow));
+  BOOST_TEST(!jobs.Contains("job", kNow + kLatestRepeat));
+  jobs.DropOld(kNow + kLatestRepeat);
+  BOOST_TEST(jobs.Count() == 0U);
+}
+
+// Guards against a job that entries tell each other of without end, as each of
+// them counts its time from when it was told.
+BOOST_AUTO_TEST_CASE(AnEndedJobIsForgottenByItsAgeWhoeverTellsOfIt)
+{
+  constexpr gpMillis kAge{ 9000 };
+  gpEndedJobs first;
+  first.Add({ "job", gpMillis(0) }, kNow);
+  gpEndedJobs second;
+  for (const gpEndedJob& job : first.List(kNow + kAge)) {
+    BOOST_TEST((job.age_ == kAge));
+    BOOST_TEST(second.Add(job, kNow + kAge));
+  }
+  BOOST_TEST(second.Contains("job", kNow + kLatestRepeat - gpMillis(1)));
+  BOOST_TEST(!second.Contains("job", kNow + kLatestRepeat));
+  BOOST_TEST(!first.Add({ "old", kLatestRepeat }, kNow));
+  BOOST_TEST(first.List(kNow + kLatestRepeat).empty());
+}
+
+// Guards against an entry that runs out of memory when many jobs end.
+BOOST_AUTO_TEST_CASE(TheNumberOfEndedJobsIsBounded)
+{
+  gpEndedJobs jobs;
+  for (std::size_t job = 0; job <= gpEndedJobs::kMostJobs; ++job) {
+    jobs.Add({ std::to_string(job), gpMillis(0) }, kNow);
+  }
+  BOOST_TEST(jobs.Count() == gpEndedJobs::kMostJobs);
+  BOOST_TEST(!jobs.Contains("0", kNow));
+  BOOST_TEST(jobs.Contains("1", kNow));
+}
