Entry: Tell the other entries of jobs that have ended

An entry now tells the entries that it's linked with of each cancel, of one of a job that it doesn't have too (answered 410 as before), and each passes on what is new to it, as with crashes. A job in progress elsewhere ends there. An entry that links gets all that is known, with the age, so that a job is forgotten by all at the same time. Completed jobs are told to linked entries only, once, and not passed on. At most one message in 5 ms on each link; an entry that ends tells what is left first. The fields are optional: entries of the version before ignore them (AnUpdateOfAnOlderEntryIsRead has the other direction).

--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -260,8 +260,9 @@
   }
   const absl::StatusOr<gpKnownEntry> entry = gpParseEntryRecord(aRecord.value_);
   if (entry.ok()) {
-    Reduce(
-      gpMessageReceived{ gpLinkId(), gpEntryUpdate{ { *entry }, {}, {} } });
+    gpEntryUpdate update;
+    update.entries_.push_back(*entry);
+    Reduce(gpMessageReceived{ gpLinkId(), std::move(update) });
   } else {
     NoteBadInput(gpErrorCodeOf(entry.status()));
   }
--- a/Source/Lease/gpEndedJobs.cxx
+++ b/Source/Lease/gpEndedJobs.cxx
@@ -21,9 +21,14 @@
     return false;
   }
   const auto [found, isNew] = endedAt_.try_emplace(aJob.id_, endedAt);
-  if (!isNew) {
+  if (!isNew && !IsOld(found->second, aNow)) {
     return false;
   }
+  if (!isNew) {
+    // It's too old, but stands behind a younger one.
+    found->second = endedAt;
+    return true;
+  }
   order_.push_back(&found->first);
   if (order_.size() > kMostJobs) {
     DropFirst();
--- a/Source/Lease/gpEndedJobs.h
+++ b/Source/Lease/gpEndedJobs.h
@@ -17,7 +17,7 @@
 class gpEndedJobs
 {
 public:
-  /// Limits the memory, to some 1.5 MB. Beyond it the jobs added first are
+  /// Limits the memory, to some 1.1 MB. Beyond it the jobs added first are
   /// forgotten.
   static constexpr std::size_t kMostJobs = 10000;
 
--- a/Source/Lease/gpEntryPeers.cxx
+++ b/Source/Lease/gpEntryPeers.cxx
@@ -30,8 +30,11 @@
     finder_.Release(link, aOut);
   }
   if (!crashes_.empty()) {
-    SendToEntries({ {}, std::exchange(crashes_, {}), {} }, aOut);
+    gpEntryUpdate crashes;
+    crashes.crashes_ = std::exchange(crashes_, {});
+    SendToEntries(crashes, aOut);
   }
+  TellEnded(aNow, aOut);
   const auto update = finder_.TakeUpdate(aNow);
   if (!update.has_value()) {
     return;
@@ -42,6 +45,17 @@
   SendToEntries(*update, aOut);
 }
 
+void
+gpEntryPeers::TellEnded(gpTime aNow, gpLeaseEffects& aOut)
+{
+  const bool isEmpty = ended_.cancelled_.empty() && ended_.completed_.empty();
+  if (isEmpty || aNow < nextTell_) {
+    return;
+  }
+  nextTell_ = aNow + kTellPeriod;
+  SendToEntries(std::exchange(ended_, {}), aOut);
+}
+
 void
 gpEntryPeers::SendToEntries(const gpEntryUpdate& aUpdate,
                             gpLeaseEffects& aOut) const
--- a/Source/Lease/gpEntryPeers.h
+++ b/Source/Lease/gpEntryPeers.h
@@ -36,21 +36,43 @@
   }
   /// Sends the crash to all linked entries with the next update.
   void Forward(const gpTargetCrash& aCrash) { crashes_.push_back(aCrash); }
+  /// Sends the cancelled job to all linked entries, with others at most once
+  /// in kTellPeriod.
+  void TellCancelled(const gpEndedJob& aJob)
+  {
+    ended_.cancelled_.push_back(aJob);
+  }
+  /// Likewise for a job that this entry has completed.
+  void TellCompleted(const gpEndedJob& aJob)
+  {
+    ended_.completed_.push_back(aJob);
+  }
   /// The list of known entries, for a process whose link has just opened.
   gpEntryUpdate MakeUpdate(gpTime aNow) const
   {
     return finder_.MakeUpdate(aNow);
   }
   /// Updates the choice of entries and closes surplus links. Sends newly
-  /// learned entries to all linked entries and to the guards, and crashes to
-  /// the entries.
+  /// learned entries to all linked entries and to the guards, and crashes and
+  /// ended jobs to the entries.
   void Update(const std::map<gpLinkId, gpIncarnation>& aGuards,
               gpTime aNow,
               gpLeaseEffects& aOut);
+  /// Sends the ended jobs that are still to be sent, before this process ends.
+  void TellLast(gpTime aNow, gpLeaseEffects& aOut)
+  {
+    nextTell_ = aNow;
+    TellEnded(aNow, aOut);
+  }
   /// Number of open links that this entry dialed.
   std::size_t CountDialed() const { return finder_.GetLinks().size(); }
 
 private:
+  /// Bounds the messages on each link. The time is short compared to that in
+  /// which a request may arrive once more.
+  static constexpr gpMillis kTellPeriod{ 5 };
+
+  void TellEnded(gpTime aNow, gpLeaseEffects& aOut);
   void SendToEntries(const gpEntryUpdate& aUpdate, gpLeaseEffects& aOut) const;
 
   gpEntryFinder finder_;
@@ -58,4 +80,8 @@
   std::set<gpLinkId> accepted_;
   /// Crashes that are to be forwarded.
   std::vector<gpTargetCrash> crashes_;
+  /// Ended jobs that are to be sent.
+  gpEntryUpdate ended_;
+  /// When the next ended jobs may be sent.
+  gpTime nextTell_;
 };
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -184,15 +184,36 @@
 void
 gpLeaseEntryReducer::On(const gpLeaseJobCancelled& aEvent)
 {
-  // Also if the job isn't known: its request may arrive later.
-  cancelled_.Add({ aEvent.id_, gpMillis(0) }, now_);
-  if (gpLeaseRecord* job = jobs_.FindById(aEvent.id_)) {
+  // Also if the job isn't known: it may be in progress at another entry, or its
+  // request may arrive later.
+  LearnCancelled({ aEvent.id_, gpMillis(0) });
+}
+
+void
+gpLeaseEntryReducer::LearnCancelled(const gpEndedJob& aJob)
+{
+  if (cancelled_.Add(aJob, now_)) {
+    peers_.TellCancelled(aJob);
+  }
+  if (gpLeaseRecord* job = jobs_.FindById(aJob.id_)) {
     EndJob(
       *job,
       { gpLeaseOutcome::Cancelled, gpLeaseReason::CallerGone, std::nullopt });
   }
 }
 
+void
+gpLeaseEntryReducer::LearnCompleted(const gpEndedJob& aJob)
+{
+  if (!completed_.Add(aJob, now_)) {
+    return;
+  }
+  if (gpLeaseRecord* job = jobs_.FindById(aJob.id_)) {
+    EndJob(*job,
+           { gpLeaseOutcome::Completed, gpLeaseReason::None, std::nullopt });
+  }
+}
+
 void
 gpLeaseEntryReducer::On(const gpCallerDisconnected& aEvent)
 {
@@ -236,6 +257,7 @@
   } else {
     peers_.OnLinked(aEvent);
     crashes_.AddTo(update);
+    update.cancelled_ = cancelled_.List(now_);
   }
   out_.Send(aEvent.link_, std::move(update));
 }
@@ -314,7 +336,9 @@
   jobs_.ChangePhase(aJob, aTask, gpLeaseTaskPhase::Done);
   ++aJob.tasksDone_;
   if (aJob.tasksDone_ == aJob.tasks_.size()) {
-    completed_.Add({ aJob.job_.id_, gpMillis(0) }, now_);
+    const gpEndedJob ended{ aJob.job_.id_, gpMillis(0) };
+    completed_.Add(ended, now_);
+    peers_.TellCompleted(ended);
     EndJob(aJob,
            { gpLeaseOutcome::Completed, gpLeaseReason::None, std::nullopt });
     return;
@@ -400,6 +424,12 @@
     LearnCrash(crash);
   }
   crashes_.Adopt(aMessage.contained_, now_, out_);
+  for (const gpEndedJob& job : aMessage.cancelled_) {
+    LearnCancelled(job);
+  }
+  for (const gpEndedJob& job : aMessage.completed_) {
+    LearnCompleted(job);
+  }
 }
 
 void
@@ -540,6 +570,7 @@
   }
   if (IsEnding() && jobs_.GetAll().empty()) {
     stopped_ = true;
+    peers_.TellLast(now_, out_);
     out_.Add(gpStop{});
   }
 }
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -104,6 +104,11 @@
   /// Counts a crash of a target, tells the other entries of it, and fails the
   /// jobs that have to be given up.
   void LearnCrash(const gpTargetCrash& aCrash);
+  /// Keeps in mind that the job was cancelled here or elsewhere, tells the
+  /// other entries, and ends it if it's in progress here.
+  void LearnCancelled(const gpEndedJob& aJob);
+  /// Another entry has completed the job: ends it if it's in progress here.
+  void LearnCompleted(const gpEndedJob& aJob);
   void OnTaskDone(gpLeaseRecord& aJob, std::size_t aTask);
   /// A run ended without completing its task: places the task again, or fails
   /// the job if its attempts are used up.
--- a/Source/Model/gpRunMessages.h
+++ b/Source/Model/gpRunMessages.h
@@ -148,9 +148,9 @@
 };
 
 /** \class gpEntryUpdate
- * \brief Entry to any process: entries and crashes that the sender knows. All
- * of them are sent when the link opens, and later each one that the sender
- * learns of. Guards are only sent entries.
+ * \brief Entry to any process: entries, crashes and ended jobs that the sender
+ * knows. All of them are sent when the link opens, and later each one that the
+ * sender learns of. Guards are only sent entries.
  */
 struct gpEntryUpdate
 {
@@ -158,6 +158,10 @@
   std::vector<gpTargetCrash> crashes_;
   /// Sent when the link opens.
   std::vector<gpContainedQueue> contained_;
+  /// Jobs that were cancelled, at this or any other entry.
+  std::vector<gpEndedJob> cancelled_;
+  /// Jobs that were completed by the sender. They aren't passed on.
+  std::vector<gpEndedJob> completed_;
 
   bool operator==(const gpEntryUpdate&) const = default;
 };
--- a/Source/Wire/gpWireRuns.cxx
+++ b/Source/Wire/gpWireRuns.cxx
@@ -340,13 +340,31 @@
          aReader.Read(aIn->data_centre(), aOut.dataCentre_);
 }
 
+Offset<gpWire::EndedJob>
+gpWriteWire(FlatBufferBuilder& aBuilder, const gpEndedJob& aIn)
+{
+  const auto id = aBuilder.CreateString(aIn.id_);
+  return gpWire::CreateEndedJob(
+    aBuilder, id, static_cast<std::uint32_t>(aIn.age_.count()));
+}
+
+bool
+gpReadWire(gpWireReader& aReader, const gpWire::EndedJob* aIn, gpEndedJob& aOut)
+{
+  aOut.age_ = gpMillis(aIn->age_ms());
+  return aReader.Read(aIn->id(), aOut.id_);
+}
+
 Offset<gpWire::EntryNews>
 gpWriteWire(FlatBufferBuilder& aBuilder, const gpEntryUpdate& aIn)
 {
   const auto entries = gpWriteTables(aBuilder, aIn.entries_);
   const auto crashes = gpWriteTables(aBuilder, aIn.crashes_);
   const auto contained = gpWriteTables(aBuilder, aIn.contained_);
-  return gpWire::CreateEntryNews(aBuilder, entries, crashes, contained);
+  const auto cancelled = gpWriteTables(aBuilder, aIn.cancelled_);
+  const auto completed = gpWriteTables(aBuilder, aIn.completed_);
+  return gpWire::CreateEntryNews(
+    aBuilder, entries, crashes, contained, cancelled, completed);
 }
 
 bool
@@ -356,5 +374,7 @@
 {
   return aReader.ReadTables(aIn->entries(), aOut.entries_) &&
          ReadOptional(aReader, aIn->crashes(), aOut.crashes_) &&
-         ReadOptional(aReader, aIn->contained(), aOut.contained_);
+         ReadOptional(aReader, aIn->contained(), aOut.contained_) &&
+         ReadOptional(aReader, aIn->cancelled(), aOut.cancelled_) &&
+         ReadOptional(aReader, aIn->completed(), aOut.completed_);
 }
--- a/Source/Wire/gpWire_generated.h
+++ b/Source/Wire/gpWire_generated.h
@@ -149,6 +149,9 @@
 struct KnownEntry;
 struct KnownEntryBuilder;
 
+struct EndedJob;
+struct EndedJobBuilder;
+
 struct EntryNews;
 struct EntryNewsBuilder;
 
@@ -4447,13 +4450,85 @@
       milli_cores);
 }
 
+struct EndedJob FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EndedJobBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_AGE_MS = 6
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct EndedJobBuilder {
+  typedef EndedJob Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(EndedJob::VT_ID, id);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(EndedJob::VT_AGE_MS, age_ms, 0);
+  }
+  explicit EndedJobBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EndedJob> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EndedJob>(end);
+    fbb_.Required(o, EndedJob::VT_ID);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EndedJob> CreateEndedJob(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    uint32_t age_ms = 0) {
+  EndedJobBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct EndedJob::Traits {
+  using type = EndedJob;
+  static auto constexpr Create = CreateEndedJob;
+};
+
+inline flatbuffers::Offset<EndedJob> CreateEndedJobDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    uint32_t age_ms = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return gpWire::CreateEndedJob(
+      _fbb,
+      id__,
+      age_ms);
+}
+
 struct EntryNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EntryNewsBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ENTRIES = 4,
     VT_CRASHES = 6,
-    VT_CONTAINED = 8
+    VT_CONTAINED = 8,
+    VT_CANCELLED = 10,
+    VT_COMPLETED = 12
   };
   const flatbuffers::Vector<flatbuffers::Offset<gpWire::KnownEntry>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::KnownEntry>> *>(VT_ENTRIES);
@@ -4464,6 +4539,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<gpWire::ContainedQueue>> *contained() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::ContainedQueue>> *>(VT_CONTAINED);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<gpWire::EndedJob>> *cancelled() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::EndedJob>> *>(VT_CANCELLED);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<gpWire::EndedJob>> *completed() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<gpWire::EndedJob>> *>(VT_COMPLETED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ENTRIES) &&
@@ -4475,6 +4556,12 @@
            VerifyOffset(verifier, VT_CONTAINED) &&
            verifier.VerifyVector(contained()) &&
            verifier.VerifyVectorOfTables(contained()) &&
+           VerifyOffset(verifier, VT_CANCELLED) &&
+           verifier.VerifyVector(cancelled()) &&
+           verifier.VerifyVectorOfTables(cancelled()) &&
+           VerifyOffset(verifier, VT_COMPLETED) &&
+           verifier.VerifyVector(completed()) &&
+           verifier.VerifyVectorOfTables(completed()) &&
            verifier.EndTable();
   }
 };
@@ -4492,6 +4579,12 @@
   void add_contained(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::ContainedQueue>>> contained) {
     fbb_.AddOffset(EntryNews::VT_CONTAINED, contained);
   }
+  void add_cancelled(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::EndedJob>>> cancelled) {
+    fbb_.AddOffset(EntryNews::VT_CANCELLED, cancelled);
+  }
+  void add_completed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::EndedJob>>> completed) {
+    fbb_.AddOffset(EntryNews::VT_COMPLETED, completed);
+  }
   explicit EntryNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4508,8 +4601,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::KnownEntry>>> entries = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::TargetCrash>>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::ContainedQueue>>> contained = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::ContainedQueue>>> contained = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::EndedJob>>> cancelled = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gpWire::EndedJob>>> completed = 0) {
   EntryNewsBuilder builder_(_fbb);
+  builder_.add_completed(completed);
+  builder_.add_cancelled(cancelled);
   builder_.add_contained(contained);
   builder_.add_crashes(crashes);
   builder_.add_entries(entries);
@@ -4525,15 +4622,21 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<gpWire::KnownEntry>> *entries = nullptr,
     const std::vector<flatbuffers::Offset<gpWire::TargetCrash>> *crashes = nullptr,
-    const std::vector<flatbuffers::Offset<gpWire::ContainedQueue>> *contained = nullptr) {
+    const std::vector<flatbuffers::Offset<gpWire::ContainedQueue>> *contained = nullptr,
+    const std::vector<flatbuffers::Offset<gpWire::EndedJob>> *cancelled = nullptr,
+    const std::vector<flatbuffers::Offset<gpWire::EndedJob>> *completed = nullptr) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<gpWire::KnownEntry>>(*entries) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<gpWire::TargetCrash>>(*crashes) : 0;
   auto contained__ = contained ? _fbb.CreateVector<flatbuffers::Offset<gpWire::ContainedQueue>>(*contained) : 0;
+  auto cancelled__ = cancelled ? _fbb.CreateVector<flatbuffers::Offset<gpWire::EndedJob>>(*cancelled) : 0;
+  auto completed__ = completed ? _fbb.CreateVector<flatbuffers::Offset<gpWire::EndedJob>>(*completed) : 0;
   return gpWire::CreateEntryNews(
       _fbb,
       entries__,
       crashes__,
-      contained__);
+      contained__,
+      cancelled__,
+      completed__);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -23,9 +23,14 @@
 constexpr gpMillis kCapacitySlack = kHeartbeat + kLongestPause + gpMillis(10);
 /// Time until the store has answered a read.
 constexpr gpMillis kStoreLatency{ 4 };
+/// Callers don't leave that have submitted their job as often.
+constexpr int kTriesOfARepeat = 3;
 /// Upper bound of how long a run continues after its caller has left: covers
 /// the loss of a link, the lease and repeated stops.
 constexpr gpMillis kLongestRunAfterEnd{ 3000 };
+/// The platform's bound of how long after the cancel of a job was acknowledged
+/// its tasks may be started.
+constexpr gpMillis kCancelTime{ 3000 };
 
 gpQueueTable
 MakeQueues()
@@ -623,6 +628,10 @@
     Break("a request was answered twice");
   }
   caller.answered_ = true;
+  if (aAnswer.outcome_ == gpLeaseOutcome::Completed ||
+      aAnswer.outcome_ == gpLeaseOutcome::Cancelled) {
+    RepeatLater(caller);
+  }
   if (aAnswer.outcome_ == gpLeaseOutcome::Completed) {
     ++completed_;
     firstQueueCompleted_ += PathOf(caller.job_) == kPath ? 1 : 0;
@@ -669,6 +678,9 @@
   }
   firstQueueJobs_ += PathOf(job) == kPath ? 1 : 0;
   Submit(job, 1);
+  if (options_.repeats_ && Chance(200)) {
+    At(now_ + gpMillis(5 + Draw(200)), [this, job] { Cancel(job); });
+  }
   At(now_ + gpMillis(5 + Draw(60)), [this] { SubmitLater(); });
 }
 
@@ -732,13 +744,34 @@
   }
 }
 
+void
+gpLeaseHistory::Cancel(const std::string& aJob)
+{
+  const std::size_t entry = Draw(entries_.size());
+  GiveEntry(entry, gpLeaseJobCancelled{ aJob });
+  cancelledAt_.emplace(aJob, now_);
+}
+
+void
+gpLeaseHistory::RepeatLater(const Caller& aCaller)
+{
+  if (options_.repeats_ && Chance(300)) {
+    At(now_ + kShortestResend + gpMillis(Draw(4000)),
+       [this, job = aCaller.job_] { Submit(job, kTriesOfARepeat); });
+  }
+}
+
 void
 gpLeaseHistory::Fault()
 {
   if (now_ >= end_) {
     return;
   }
-  switch (Draw(options_.targetCuts_ ? 8 : 7)) {
+  std::size_t fault = Draw(options_.targetCuts_ ? 8 : 7);
+  if (options_.repeats_ && (fault == 2 || fault == 4)) {
+    fault = 0;
+  }
+  switch (fault) {
     case 0:
       BreakLink(false);
       break;
@@ -966,6 +999,11 @@
 {
   ++starts_;
   started_.insert_or_assign(aRun, now_);
+  const auto cancelled = cancelledAt_.find(gpJobOfTask(aRun.task_));
+  if (cancelled != cancelledAt_.end() &&
+      now_ > cancelled->second + kCancelTime) {
+    Break(aRun.task_ + " was started after its job was cancelled");
+  }
   const auto ordered = ordered_.find(aRun);
   if (ordered == ordered_.end()) {
     Break(aRun.task_ + " was started without an order");
--- a/Tests/Lease/gpLeaseHistory.h
+++ b/Tests/Lease/gpLeaseHistory.h
@@ -50,6 +50,11 @@
   bool resubmitsFailed_ = false;
   /// Whether entries have links with each other.
   bool peerLinks_ = false;
+  /// Whether callers cancel jobs, at any entry, and requests arrive once more,
+  /// at any entry, after the job was completed or cancelled. Entries are
+  /// neither killed nor frozen then, as what they know of ended jobs is lost
+  /// with them.
+  bool repeats_ = false;
 };
 
 /** \class gpLeaseHistory
@@ -62,8 +67,9 @@
  * The invariants are checked after every event: no task has two runs at one
  * time, no target exceeds its capacity, no request is answered twice, a job is
  * only completed with all of its tasks, a job that was answered not_run never
- * runs, runs end within a bound after their caller has left, and a task that
- * has crashed three targets isn't started three times more.
+ * runs, runs end within a bound after their caller has left, a task that has
+ * crashed three targets isn't started three times more, and no task is started
+ * later than a bound after the cancel of its job.
  */
 class gpLeaseHistory
 {
@@ -186,6 +192,10 @@
   std::string PathOf(const std::string& aJob) const;
   /// A caller that lost its connection submits its job again, once.
   void SubmitAgain(gpRequestId aRequest);
+  /// The caller cancels the job at any entry.
+  void Cancel(const std::string& aJob);
+  /// The request of a job that was completed or cancelled may arrive once more.
+  void RepeatLater(const Caller& aCaller);
   void Fault();
   void BreakLink(bool aSilent);
   void Kill(Process& aProcess);
@@ -241,6 +251,7 @@
   std::map<gpRunId, gpTime> started_;
   std::set<gpRequestId> notRun_;
   std::map<std::string, std::set<std::string>> doneTasks_;
+  std::map<std::string, gpTime> cancelledAt_;
   std::vector<std::string> broken_;
   std::size_t completed_ = 0;
   std::size_t refused_ = 0;
--- a/Tests/Lease/testLeaseEntry.cxx
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -15,6 +15,7 @@
 const gpServiceName kService("pond-order");
 const gpQueueName kQueue("hold");
 const gpLinkId kLink(1);
+const gpLinkId kPeerLink(2);
 const gpIncarnation kGuard(7);
 constexpr gpMillis kShutdown{ 3000 };
 /// Longer than a load balancer takes to send no more new connections.
@@ -120,6 +121,14 @@
         }
         if (const auto* update = std::get_if<gpEntryUpdate>(&send->message_)) {
           update_ = *update;
+          cancelledTold_.insert(cancelledTold_.end(),
+                                update->cancelled_.begin(),
+                                update->cancelled_.end());
+          completedTold_.insert(completedTold_.end(),
+                                update->completed_.begin(),
+                                update->completed_.end());
+          endedUpdates_ +=
+            update->cancelled_.empty() && update->completed_.empty() ? 0 : 1;
         }
       }
       if (const auto* write = std::get_if<gpWriteTimeline>(&effect)) {
@@ -137,6 +146,25 @@
     }
   }
 
+  /// Another entry links with this one.
+  void LinkPeer()
+  {
+    gpLinkOpened opened;
+    opened.link_ = kPeerLink;
+    opened.peer_.role_ = gpRole::Entry;
+    Feed(opened);
+  }
+
+  /// Another entry tells of jobs that have ended.
+  void Learn(const std::vector<gpEndedJob>& aCancelled,
+             const std::vector<gpEndedJob>& aCompleted)
+  {
+    gpEntryUpdate update;
+    update.cancelled_ = aCancelled;
+    update.completed_ = aCompleted;
+    Feed(gpMessageReceived{ kPeerLink, update });
+  }
+
   /// Handles aWakes timers, each aTime late, as when the process gets too
   /// little processor.
   void PassLate(gpMillis aTime, int aWakes)
@@ -190,6 +218,11 @@
   std::set<std::string> contained_;
   /// The last update for an entry or the guard.
   std::optional<gpEntryUpdate> update_;
+  /// The ended jobs of which other entries were told.
+  std::vector<gpEndedJob> cancelledTold_;
+  std::vector<gpEndedJob> completedTold_;
+  /// Number of messages that did so.
+  int endedUpdates_ = 0;
   bool connectionsClosed_ = false;
   bool stopped_ = false;
 
@@ -570,3 +603,121 @@
   entry.Feed(gpLeaseJobSubmitted{ gpRequestId(2), MakeJob("job") });
   BOOST_TEST(entry.ordered_.size() == 2U);
 }
+
+// Guards against a cancelled job that starts at another entry, when its request
+// arrives there once more. A cancel of a job that this entry doesn't have is
+// told too, as the job may be in progress elsewhere.
+BOOST_AUTO_TEST_CASE(EntriesTellEachOtherOfCancelledJobs)
+{
+  EntryWithGuard first;
+  first.LinkPeer();
+  first.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("job") });
+  first.Feed(gpLeaseJobCancelled{ "job" });
+  first.Pass(gpMillis(20));
+  first.Feed(gpLeaseJobCancelled{ "other" });
+  BOOST_REQUIRE(first.cancelledTold_.size() == 2U);
+  EntryWithGuard second;
+  second.Learn(first.cancelledTold_, {});
+  second.Pass(gpMillis(4000));
+  std::uint64_t request = 0;
+  for (const std::string id : { "job", "other" }) {
+    second.Feed(gpLeaseJobSubmitted{ gpRequestId(++request), MakeJob(id) });
+    BOOST_REQUIRE(second.answers_.contains(gpRequestId(request)));
+    BOOST_TEST((second.answers_.at(gpRequestId(request)).outcome_ ==
+                gpLeaseOutcome::Cancelled));
+  }
+  BOOST_TEST(second.ordered_.empty());
+}
+
+// Guards against a job that works on at one entry after it was cancelled at
+// another one.
+BOOST_AUTO_TEST_CASE(AJobInProgressIsEndedByACancelAtAnotherEntry)
+{
+  EntryWithGuard entry;
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("job") });
+  entry.Learn({ { "job", gpMillis(3) } }, {});
+  BOOST_REQUIRE(entry.answers_.contains(gpRequestId(1)));
+  BOOST_TEST(
+    (entry.answers_.at(gpRequestId(1)).outcome_ == gpLeaseOutcome::Cancelled));
+}
+
+// Guards against cancels that reach only the entries that are linked with the
+// one that was asked, and against cancels that are passed on without end.
+BOOST_AUTO_TEST_CASE(CancelledJobsArePassedOnOnce)
+{
+  EntryWithGuard entry;
+  entry.LinkPeer();
+  entry.Learn({ { "job", gpMillis(3) } }, {});
+  BOOST_REQUIRE(entry.cancelledTold_.size() == 1U);
+  BOOST_TEST(entry.cancelledTold_.front().id_ == "job");
+  entry.Pass(gpMillis(20));
+  entry.Learn({ { "job", gpMillis(5) } }, {});
+  entry.Pass(gpMillis(20));
+  BOOST_TEST(entry.cancelledTold_.size() == 1U);
+}
+
+// Guards against an entry that starts a cancelled job, as it was itself started
+// after the cancel, or couldn't be reached then.
+BOOST_AUTO_TEST_CASE(AnEntryThatLinksIsToldOfCancelledJobs)
+{
+  EntryWithGuard entry;
+  entry.Feed(gpLeaseJobCancelled{ "job" });
+  entry.Pass(gpMillis(2000));
+  entry.LinkPeer();
+  BOOST_REQUIRE(entry.cancelledTold_.size() == 1U);
+  BOOST_TEST((entry.cancelledTold_.front().age_ == gpMillis(2000)));
+}
+
+// Guards against one message for each of many jobs that end.
+BOOST_AUTO_TEST_CASE(EndedJobsAreToldTogether)
+{
+  EntryWithGuard entry;
+  entry.LinkPeer();
+  for (int job = 0; job < 100; ++job) {
+    entry.Feed(gpLeaseJobCancelled{ std::to_string(job) });
+  }
+  BOOST_TEST(entry.endedUpdates_ == 1);
+  entry.Pass(gpMillis(20));
+  BOOST_TEST(entry.endedUpdates_ == 2);
+  BOOST_TEST(entry.cancelledTold_.size() == 100U);
+}
+
+// Guards against a completed job that runs again at an entry that is linked
+// with the one that completed it. It isn't passed on: there are too many.
+BOOST_AUTO_TEST_CASE(LinkedEntriesAreToldOfCompletedJobs)
+{
+  EntryWithGuard first;
+  first.LinkPeer();
+  first.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("job") });
+  first.EndRun(gpRunEnd::Done);
+  BOOST_REQUIRE(first.completedTold_.size() == 1U);
+  EntryWithGuard second;
+  second.LinkPeer();
+  second.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("job") });
+  second.Learn({}, first.completedTold_);
+  second.Feed(gpLeaseJobSubmitted{ gpRequestId(2), MakeJob("job") });
+  second.Pass(gpMillis(20));
+  for (const gpRequestId request : { gpRequestId(1), gpRequestId(2) }) {
+    BOOST_REQUIRE(second.answers_.contains(request));
+    BOOST_TEST(
+      (second.answers_.at(request).outcome_ == gpLeaseOutcome::Completed));
+  }
+  BOOST_TEST(second.ordered_.size() == 1U);
+  BOOST_TEST(second.completedTold_.empty());
+}
+
+// Guards against a cancel that was acknowledged by an entry which ends before
+// it has told the others.
+BOOST_AUTO_TEST_CASE(AnEntryThatEndsTellsOfItsLastCancelledJobs)
+{
+  EntryWithGuard entry;
+  entry.LinkPeer();
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), MakeJob("first") });
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(2), MakeJob("last") });
+  entry.Feed(gpShutdownRequested{});
+  entry.Pass(kShutdown - gpMillis(1000));
+  entry.Feed(gpLeaseJobCancelled{ "first" });
+  entry.Feed(gpLeaseJobCancelled{ "last" });
+  BOOST_TEST(entry.stopped_);
+  BOOST_TEST(entry.cancelledTold_.size() == 2U);
+}
--- a/Tests/Lease/testLeaseHistories.cxx
+++ b/Tests/Lease/testLeaseHistories.cxx
@@ -137,6 +137,20 @@
   RunHistories(options, 1000);
 }
 
+// Guards against a job that starts again after it was cancelled, at any entry,
+// when its request arrives once more, at any entry.
+BOOST_AUTO_TEST_CASE(HistoriesWithRepeatedRequestsKeepCancelledJobsEnded)
+{
+  gpLeaseHistoryOptions options;
+  options.entries_ = 3;
+  options.length_ = gpMillis(6000);
+  options.repeats_ = true;
+  options.peerLinks_ = true;
+  // The platform exempts orders that a target carries out late.
+  options.lostOrders_ = 0;
+  RunHistories(options, 300);
+}
+
 // Guards link with only some of the entries. They replace entries that are
 // killed or frozen, and link with them again when these are back.
 BOOST_AUTO_TEST_CASE(HistoriesWithSubsetsOfEntriesKeepTheInvariants)
--- a/Tests/Lease/testLeaseParts.cxx
+++ b/Tests/Lease/testLeaseParts.cxx
@@ -500,6 +500,19 @@
   BOOST_TEST(first.List(kNow + kLatestRepeat).empty());
 }
 
+// Guards against a job that can't be added, as it's known from long ago.
+BOOST_AUTO_TEST_CASE(AnEndedJobThatIsTooOldCanBeAddedAgain)
+{
+  gpEndedJobs jobs;
+  jobs.Add({ "young", gpMillis(0) }, kNow);
+  jobs.Add({ "job", kLatestRepeat - gpMillis(1) }, kNow);
+  BOOST_TEST(!jobs.Contains("job", kNow + gpMillis(1)));
+  BOOST_TEST(jobs.Add({ "job", gpMillis(0) }, kNow + gpMillis(1)));
+  BOOST_TEST(jobs.Contains("job", kNow + kLatestRepeat));
+  jobs.DropOld(kNow + kLatestRepeat + gpMillis(1));
+  BOOST_TEST(jobs.Count() == 0U);
+}
+
 // Guards against an entry that runs out of memory when many jobs end.
 BOOST_AUTO_TEST_CASE(TheNumberOfEndedJobsIsBounded)
 {
--- a/Tests/Wire/gpSampleMessages.cxx
+++ b/Tests/Wire/gpSampleMessages.cxx
@@ -130,7 +130,10 @@
           gpCrashState::Refuted,
           { { run, gpQueueName("hold"), false, false, std::nullopt } },
           {} } },
-      { { gpQueueName("hold"), gpServiceName("pond-order"), gpMillis(100) } } }
+      { { gpQueueName("hold"), gpServiceName("pond-order"), gpMillis(100) } },
+      { { "5c0e7a21d94b36f8", gpMillis(0) },
+        { "5c0e7a21d94b36f9", gpMillis(9999) } },
+      { { "5c0e7a21d94b36fa", gpMillis(1) } } }
   };
 }
 
--- a/Tests/Wire/testWire.cxx
+++ b/Tests/Wire/testWire.cxx
@@ -87,6 +87,39 @@
   BOOST_TEST((*back == frame));
 }
 
+// Guards against an entry that can't tell another one of its ended jobs, as the
+// reader takes many small rows for parts that overlap.
+BOOST_AUTO_TEST_CASE(AnUpdateWithManyEndedJobsRoundTrips)
+{
+  gpEntryUpdate update;
+  for (std::uint64_t job = 0; job < 10000; ++job) {
+    update.cancelled_.push_back(
+      { std::to_string(1000000000000000U + job), gpMillis(0) });
+  }
+  update.completed_ = update.cancelled_;
+  const gpFrame frame{ { 2, 3, 4 }, { update } };
+  const std::string bytes = gpFrameCodec::EncodeFrame(frame);
+  BOOST_TEST_MESSAGE(bytes.size() << " bytes");
+  const auto back = gpFrameCodec::DecodeFrame(bytes);
+  BOOST_REQUIRE(back.ok());
+  BOOST_TEST((*back == frame));
+}
+
+// Guards against an entry that loses its links with entries of the version
+// before, which don't tell of crashes or ended jobs.
+BOOST_AUTO_TEST_CASE(AnUpdateOfAnOlderEntryIsRead)
+{
+  const std::string bytes =
+    FrameOf(gpWire::Message::EntryNews, [](FlatBufferBuilder& aBuilder) {
+      const auto entries = aBuilder.CreateVector(
+        std::vector<flatbuffers::Offset<gpWire::KnownEntry>>{});
+      return gpWire::CreateEntryNews(aBuilder, entries).Union();
+    });
+  const auto back = gpFrameCodec::DecodeFrame(bytes);
+  BOOST_REQUIRE(back.ok());
+  BOOST_TEST((back->messages_ == std::vector<gpMessage>{ gpEntryUpdate{} }));
+}
+
 BOOST_AUTO_TEST_CASE(HeartbeatRoundTrips)
 {
   const gpFrame frame{ { 2, 3, 4 }, {} };
