--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -111,6 +111,9 @@
 {
   const gpQueue* queue = queues_.Find(aEvent.job_.host_, aEvent.job_.path_);
   const bool isConfigured = queues_.version_ != gpConfigVersion{};
+  if (queue != nullptr && AnswerEnded(aEvent)) {
+    return;
+  }
   const auto refusal = admission_.FindRefusal(aEvent.job_, queue, isConfigured);
   if (refusal.has_value()) {
     Refuse(aEvent, queue, *refusal);
@@ -156,16 +159,61 @@
   dispatcher_.LogWait(job, now_, out_);
 }
 
+bool
+gpLeaseEntryReducer::AnswerEnded(const gpLeaseJobSubmitted& aEvent)
+{
+  const std::string& id = aEvent.job_.id_;
+  gpLeaseAnswer answer;
+  if (cancelled_.Contains(id, now_)) {
+    answer = { gpLeaseOutcome::Cancelled,
+               gpLeaseReason::CallerGone,
+               std::nullopt };
+  } else if (completed_.Contains(id, now_)) {
+    answer = { gpLeaseOutcome::Completed, gpLeaseReason::None, std::nullopt };
+  } else {
+    return false;
+  }
+  out_.Write(gpJobLogEvent(gpEventKind::JobAnswered,
+                           gpServiceName(),
+                           id,
+                           gpAnswerText(answer) + " as before"));
+  out_.Add(gpAnswerLeaseJob{ aEvent.request_, answer });
+  return true;
+}
+
 void
 gpLeaseEntryReducer::On(const gpLeaseJobCancelled& aEvent)
 {
-  if (gpLeaseRecord* job = jobs_.FindById(aEvent.id_)) {
+  // Also if the job isn't known: it may be in progress at another entry, or its
+  // request may arrive later.
+  LearnCancelled({ aEvent.id_, gpMillis(0) });
+}
+
+void
+gpLeaseEntryReducer::LearnCancelled(const gpEndedJob& aJob)
+{
+  if (cancelled_.Add(aJob, now_)) {
+    peers_.TellCancelled(aJob);
+  }
+  if (gpLeaseRecord* job = jobs_.FindById(aJob.id_)) {
     EndJob(
       *job,
       { gpLeaseOutcome::Cancelled, gpLeaseReason::CallerGone, std::nullopt });
   }
 }
 
+void
+gpLeaseEntryReducer::LearnCompleted(const gpEndedJob& aJob)
+{
+  if (!completed_.Add(aJob, now_)) {
+    return;
+  }
+  if (gpLeaseRecord* job = jobs_.FindById(aJob.id_)) {
+    EndJob(*job,
+           { gpLeaseOutcome::Completed, gpLeaseReason::None, std::nullopt });
+  }
+}
+
 void
 gpLeaseEntryReducer::On(const gpCallerDisconnected& aEvent)
 {
@@ -209,6 +257,7 @@
   } else {
     peers_.OnLinked(aEvent);
     crashes_.AddTo(update);
+    update.cancelled_ = cancelled_.List(now_);
   }
   out_.Send(aEvent.link_, std::move(update));
 }
@@ -287,6 +336,9 @@
   jobs_.ChangePhase(aJob, aTask, gpLeaseTaskPhase::Done);
   ++aJob.tasksDone_;
   if (aJob.tasksDone_ == aJob.tasks_.size()) {
+    const gpEndedJob ended{ aJob.job_.id_, gpMillis(0) };
+    completed_.Add(ended, now_);
+    peers_.TellCompleted(ended);
     EndJob(aJob,
            { gpLeaseOutcome::Completed, gpLeaseReason::None, std::nullopt });
     return;
@@ -372,6 +424,12 @@
     LearnCrash(crash);
   }
   crashes_.Adopt(aMessage.contained_, now_, out_);
+  for (const gpEndedJob& job : aMessage.cancelled_) {
+    LearnCancelled(job);
+  }
+  for (const gpEndedJob& job : aMessage.completed_) {
+    LearnCompleted(job);
+  }
 }
 
 void
@@ -400,6 +458,8 @@
     lag_.NoteTimer(wakeAt_, now_);
   }
   crashes_.DropOld(now_);
+  cancelled_.DropOld(now_);
+  completed_.DropOld(now_);
   crashes_.ReleaseQueues(
     [this](const gpServiceName& aService) {
       return targetTable_.HasTarget(aService, gpPlacementScope::SetApart);
@@ -510,6 +570,7 @@
   }
   if (IsEnding() && jobs_.GetAll().empty()) {
     stopped_ = true;
+    peers_.TellLast(now_, out_);
     out_.Add(gpStop{});
   }
 }
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "gpCrashMonitor.h"
+#include "gpEndedJobs.h"
 #include "gpEntryPeers.h"
 #include "gpLeaseAdmission.h"
 #include "gpLeaseEvent.h"
@@ -94,12 +95,20 @@
   void Refuse(const gpLeaseJobSubmitted& aEvent,
               const gpQueue* aQueue,
               const gpLeaseAnswer& aAnswer);
+  /// Answers a request for a job that has ended; returns false if it isn't
+  /// known to have.
+  bool AnswerEnded(const gpLeaseJobSubmitted& aEvent);
   /// Answers the caller, cancels the job's runs and removes the job.
   void EndJob(gpLeaseRecord& aJob, const gpLeaseAnswer& aAnswer);
   void FailJob(gpLeaseRecord& aJob, gpLeaseReason aReason);
   /// Counts a crash of a target, tells the other entries of it, and fails the
   /// jobs that have to be given up.
   void LearnCrash(const gpTargetCrash& aCrash);
+  /// Keeps in mind that the job was cancelled here or elsewhere, tells the
+  /// other entries, and ends it if it's in progress here.
+  void LearnCancelled(const gpEndedJob& aJob);
+  /// Another entry has completed the job: ends it if it's in progress here.
+  void LearnCompleted(const gpEndedJob& aJob);
   void OnTaskDone(gpLeaseRecord& aJob, std::size_t aTask);
   /// A run ended without completing its task: places the task again, or fails
   /// the job if its attempts are used up.
@@ -129,6 +138,8 @@
   gpEntryPeers peers_;
   gpTargetTable targetTable_;
   gpLeaseJobTable jobs_;
+  gpEndedJobs cancelled_;
+  gpEndedJobs completed_;
   gpCrashMonitor crashes_;
   gpLeaseAdmission admission_;
   gpRunDispatcher dispatcher_;
--- a/Source/Model/gpRunMessages.h
+++ b/Source/Model/gpRunMessages.h
@@ -135,10 +135,22 @@
   bool operator==(const gpKnownEntry&) const = default;
 };
 
+/** \class gpEndedJob
+ * \brief A best-effort job that has ended for good.
+ */
+struct gpEndedJob
+{
+  std::string id_;
+  /// Time since it ended, or since its end became known.
+  gpMillis age_{ 0 };
+
+  bool operator==(const gpEndedJob&) const = default;
+};
+
 /** \class gpEntryUpdate
- * \brief Entry to any process: entries and crashes that the sender knows. All
- * of them are sent when the link opens, and later each one that the sender
- * learns of. Guards are only sent entries.
+ * \brief Entry to any process: entries, crashes and ended jobs that the sender
+ * knows. All of them are sent when the link opens, and later each one that the
+ * sender learns of. Guards are only sent entries.
  */
 struct gpEntryUpdate
 {
@@ -146,6 +158,10 @@
   std::vector<gpTargetCrash> crashes_;
   /// Sent when the link opens.
   std::vector<gpContainedQueue> contained_;
+  /// Jobs that were cancelled, at this or any other entry.
+  std::vector<gpEndedJob> cancelled_;
+  /// Jobs that were completed by the sender. They aren't passed on.
+  std::vector<gpEndedJob> completed_;
 
   bool operator==(const gpEntryUpdate&) const = default;
 };
--- a/Tests/Lease/testLeaseParts.cxx
+++ b/Tests/Lease/testLeaseParts.cxx
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 
+#include "gpEndedJobs.h"
 #include "gpLeaseJobTable.h"
 #include "gpLeaseTimeCheck.h"
 #include "gpLeaseTimings.h"
@@ -329,6 +330,8 @@
   BOOST_TEST(runs.ListEnded(kNow, {}).size() == 1U);
 }
 
+// A late heartbeat tells nothing but that its target leaves: then a number that
+// is ahead of it can't be the target's own.
 BOOST_AUTO_TEST_CASE(OutdatedHeartbeatsAreIgnored)
 {
   gpTargetSession session(1);
@@ -337,21 +340,41 @@
   target.startTime_ = 100;
   target.sequence_ = 5;
   BOOST_TEST(session.NoteHeartbeat(target, kNow));
-  const std::uint64_t fence = session.GetFence();
   target.sequence_ = 4;
+  target.capacity_ = { 9000, 0, 0 };
+  BOOST_TEST(!session.IsNews(target, kNow));
   target.draining_ = true;
+  BOOST_TEST(session.IsNews(target, kNow));
   BOOST_TEST(!session.NoteHeartbeat(target, kNow));
-  BOOST_TEST(!session.IsLeaving());
-  // A newer incarnation under the same ID; a late heartbeat of the earlier one
-  // follows.
+  BOOST_TEST(session.IsLeaving());
+  BOOST_TEST(session.Get().sequence_ == 5U);
+  BOOST_TEST(session.Get().capacity_.milliCores_ == 0U);
+}
+
+// A heartbeat of another incarnation is none of the present one, whatever its
+// numbers, until the target has answered as this incarnation.
+BOOST_AUTO_TEST_CASE(AnotherIncarnationIsProvenByAnAnswer)
+{
+  gpTargetSession session(1);
+  gpTargetAnnouncement target;
+  target.id_ = "i-1";
+  target.startTime_ = 100;
+  target.sequence_ = 5;
+  BOOST_TEST(session.NoteHeartbeat(target, kNow));
+  const std::uint64_t fence = session.GetFence();
   gpTargetAnnouncement newer = target;
   newer.startTime_ = 200;
   newer.sequence_ = 1;
-  newer.draining_ = false;
+  BOOST_TEST(!session.IsPresent(newer));
+  BOOST_TEST(!session.IsProven(newer));
+  BOOST_TEST(session.NoteStartTime(200));
+  BOOST_TEST(session.IsProven(newer));
   BOOST_TEST(session.NoteHeartbeat(newer, kNow));
   BOOST_TEST(session.GetFence() > fence);
+  // A late heartbeat of the earlier one follows.
   target.sequence_ = 9;
-  BOOST_TEST(!session.NoteHeartbeat(target, kNow));
+  BOOST_TEST(!session.IsPresent(target));
+  BOOST_TEST(!session.IsProven(target));
   BOOST_TEST(session.Get().startTime_ == 200U);
 }
 
@@ -488,3 +511,58 @@
     gpCheckLeaseTimes(record, recallAt - gpMillis(1)).stragglers_.empty());
   BOOST_TEST(gpCheckLeaseTimes(record, recallAt).stragglers_.size() == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(AnEndedJobIsKnownForALimitedTime)
+{
+  gpEndedJobs jobs;
+  BOOST_TEST(jobs.Add({ "job", gpMillis(0) }, kNow));
+  BOOST_TEST(!jobs.Add({ "job", gpMillis(0) }, kNow + gpMillis(5)));
+  BOOST_TEST(jobs.Contains("job", kNow + kLatestRepeat - gpMillis(1)));
+  BOOST_TEST(!jobs.Contains("other", kNow));
+  BOOST_TEST(!jobs.Contains("job", kNow + kLatestRepeat));
+  jobs.DropOld(kNow + kLatestRepeat);
+  BOOST_TEST(jobs.Count() == 0U);
+}
+
+// Guards against a job that entries tell each other of without end, as each of
+// them counts its time from when it was told.
+BOOST_AUTO_TEST_CASE(AnEndedJobIsForgottenByItsAgeWhoeverTellsOfIt)
+{
+  constexpr gpMillis kAge{ 9000 };
+  gpEndedJobs first;
+  first.Add({ "job", gpMillis(0) }, kNow);
+  gpEndedJobs second;
+  for (const gpEndedJob& job : first.List(kNow + kAge)) {
+    BOOST_TEST((job.age_ == kAge));
+    BOOST_TEST(second.Add(job, kNow + kAge));
+  }
+  BOOST_TEST(second.Contains("job", kNow + kLatestRepeat - gpMillis(1)));
+  BOOST_TEST(!second.Contains("job", kNow + kLatestRepeat));
+  BOOST_TEST(!first.Add({ "old", kLatestRepeat }, kNow));
+  BOOST_TEST(first.List(kNow + kLatestRepeat).empty());
+}
+
+// Guards against a job that can't be added, as it's known from long ago.
+BOOST_AUTO_TEST_CASE(AnEndedJobThatIsTooOldCanBeAddedAgain)
+{
+  gpEndedJobs jobs;
+  jobs.Add({ "young", gpMillis(0) }, kNow);
+  jobs.Add({ "job", kLatestRepeat - gpMillis(1) }, kNow);
+  BOOST_TEST(!jobs.Contains("job", kNow + gpMillis(1)));
+  BOOST_TEST(jobs.Add({ "job", gpMillis(0) }, kNow + gpMillis(1)));
+  BOOST_TEST(jobs.Contains("job", kNow + kLatestRepeat));
+  jobs.DropOld(kNow + kLatestRepeat + gpMillis(1));
+  BOOST_TEST(jobs.Count() == 0U);
+}
+
+// Guards against an entry that runs out of memory when many jobs end.
+BOOST_AUTO_TEST_CASE(TheNumberOfEndedJobsIsBounded)
+{
+  gpEndedJobs jobs;
+  for (std::size_t job = 0; job <= gpEndedJobs::kMostJobs; ++job) {
+    jobs.Add({ std::to_string(job), gpMillis(0) }, kNow);
+  }
+  BOOST_TEST(jobs.Count() == gpEndedJobs::kMostJobs);
+  BOOST_TEST(!jobs.Contains("0", kNow));
+  BOOST_TEST(jobs.Contains("1", kNow));
+}
