Store: Keep an odd record from hiding those beside it

Those that can't be read are typed errors (BadRecord) in gpStorePage::faults_, which entries log and count as bad_input; the line for the record of an entry names its key and field.

Left as it is: a page that is no JSON (or nested over 32 levels) is refused whole and read again after a pause, as the store itself writes it; so is a configuration with one route that can't be read, since it's one document.

--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "gpEntryRecord.h"
+#include "gpError.h"
 #include "gpLeaseLogEvents.h"
 
 namespace {
@@ -51,13 +52,15 @@
       *store_,
       gpStoreTopic::Configuration,
       { [this](const gpStoreRecord& aRecord) { OnStoreRecord(aRecord); },
-        [this](const absl::Status& aStatus) { NoteLogHealth(aStatus); } })
+        [this](const absl::Status& aStatus) { NoteLogHealth(aStatus); },
+        [this](const absl::Status& aStatus) { NoteBadInput(aStatus); } })
   , entriesFollower_(
       timers_,
       *store_,
       gpStoreTopic::Entries,
       { [this](const gpStoreRecord& aRecord) { OnEntryRecord(aRecord); },
-        [](const absl::Status&) {} })
+        [](const absl::Status&) {},
+        [this](const absl::Status& aStatus) { NoteBadInput(aStatus); } })
   , registration_(timers_,
                   *store_,
                   gpStoreTopic::Entries,
@@ -263,7 +266,9 @@
     Reduce(
       gpMessageReceived{ gpLinkId(), gpEntryUpdate{ { *entry }, {}, {} } });
   } else {
-    NoteBadInput(gpErrorCodeOf(entry.status()));
+    NoteBadInput(gpMakeError(gpErrorCode::BadRecord,
+                             "entry " + aRecord.key_ + ": " +
+                               gpErrorText(entry.status())));
   }
 }
 
--- a/Source/Process/gpStoreFollower.cxx
+++ b/Source/Process/gpStoreFollower.cxx
@@ -77,6 +77,9 @@
   for (const gpStoreRecord& record : aPage->records_) {
     handlers_.record_(record);
   }
+  for (const absl::Status& fault : aPage->faults_) {
+    handlers_.badRecord_(fault);
+  }
   ReadNext();
 }
 
--- a/Source/Process/gpStoreFollower.h
+++ b/Source/Process/gpStoreFollower.h
@@ -20,6 +20,8 @@
     std::function<void(const gpStoreRecord&)> record_;
     /// The store became reachable (ok) or unreachable.
     std::function<void(const absl::Status&)> health_;
+    /// A record can't be read (BadRecord); those beside it are passed on.
+    std::function<void(const absl::Status&)> badRecord_;
   };
 
   gpStoreFollower(gpTimerService& aTimers,
--- a/Source/Process/gpStorePort.h
+++ b/Source/Process/gpStorePort.h
@@ -35,6 +35,8 @@
 struct gpStorePage
 {
   std::vector<gpStoreRecord> records_;
+  /// The errors (BadRecord) of records that can't be read; the others hold.
+  std::vector<absl::Status> faults_;
   /// Offset at which the next read starts.
   gpLogOffset next_;
 };
