Configuration: Refuse stored records with fields out of range

Cause: in the record of a target the amounts had no maximum, so that a link refuses the message to entries above 2^40, and the ID might be of any length and hold line breaks, though it's sent in a header.

Now these have ranges; the ID follows the rule of heartbeats.

--- a/Source/Configuration/gpEntryRecord.cxx
+++ b/Source/Configuration/gpEntryRecord.cxx
@@ -8,6 +8,20 @@
 
 namespace json = boost::json;
 
+namespace {
+
+constexpr gpNumberRange kMilliCores = { 0, 1000000000 };
+constexpr std::size_t kMaxNameBytes = 1024;
+/// The name is passed on to all entries and guards.
+const gpTextRule kDataCentreRule = {
+  [](std::string_view aText) {
+    return !aText.empty() && aText.size() <= kMaxNameBytes;
+  },
+  "a string of 1 to 1024 bytes",
+};
+
+} // namespace
+
 std::string
 gpRenderEntryRecord(const gpKnownEntry& aEntry)
 {
@@ -27,8 +41,8 @@
   if (document.parsed_) {
     gpJsonObject root(document.root_, "", errors);
     root.Text("address", entry.address_, kAddressRule, kRequired);
-    root.Text("data_centre", entry.dataCentre_, kNonEmptyRule, kRequired);
-    root.Number("milli_cores", entry.milliCores_, {});
+    root.Text("data_centre", entry.dataCentre_, kDataCentreRule, kRequired);
+    root.Number("milli_cores", entry.milliCores_, kMilliCores);
   }
   if (!errors.empty()) {
     return gpMakeErrors(gpErrorCode::BadRecord, errors);
--- a/Source/Configuration/gpTargetRecord.cxx
+++ b/Source/Configuration/gpTargetRecord.cxx
@@ -9,6 +9,16 @@
 
 namespace json = boost::json;
 
+namespace {
+
+constexpr gpNumberRange kResources = { 0, kMaxTargetResource };
+const gpTextRule kIdRule = {
+  gpIsTargetId,
+  "1 to 255 visible ASCII characters without '/' and '?'",
+};
+
+} // namespace
+
 std::string
 gpRenderTargetRecord(const gpTargetRecord& aRecord)
 {
@@ -40,14 +50,15 @@
   gpTargetAnnouncement& target = record.target_;
   if (document.parsed_) {
     gpJsonObject root(document.root_, "", errors);
-    root.Text("id", target.id_, kNonEmptyRule, kRequired);
+    root.Text("id", target.id_, kIdRule, kRequired);
     root.Number("start_time", target.startTime_, {}, kRequired);
     root.Number("sequence", target.sequence_, {}, kRequired);
     root.Text("service", target.service_, kNonEmptyRule, kRequired);
     root.Flag("draining", target.draining_);
-    root.Number("milli_cores", target.capacity_.milliCores_, {}, kRequired);
-    root.Number("memory_mb", target.capacity_.memoryMb_, {});
-    root.Number("accelerators", target.capacity_.accelerators_, {});
+    root.Number(
+      "milli_cores", target.capacity_.milliCores_, kResources, kRequired);
+    root.Number("memory_mb", target.capacity_.memoryMb_, kResources);
+    root.Number("accelerators", target.capacity_.accelerators_, kResources);
     for (gpJsonText& label : root.Texts("labels", kNonEmptyRule)) {
       target.labels_.push_back(std::move(label.text_));
     }
--- a/Tests/Configuration/testEntryRecord.cxx
+++ b/Tests/Configuration/testEntryRecord.cxx
@@ -38,4 +38,38 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(RejectsFieldsOutOfRange)
+{
+  const std::string start = R"({"data_centre":"dc-1","address":)";
+  const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+  std::vector<std::string> odd;
+  for (const char* address : { R"("10.0.0.1:0")",
+                               R"("10.0.0.1:65536")",
+                               R"("10.0.0.1:99999")",
+                               R"("10.0.0.1:x")",
+                               R"("10.0.0.1")",
+                               "null",
+                               "1e400",
+                               "\"\xff:1\"" }) {
+    odd.push_back(start + address + "}");
+  }
+  const std::string good = start + R"("10.0.0.1:7000")";
+  for (const char* number :
+       { "1.5", "1e400", "4294967296", "18446744073709551616", "\"1\"" }) {
+    odd.push_back(good + R"(,"milli_cores":)" + number + "}");
+  }
+  odd.push_back(good + R"(,"address":"10.0.0.1:7001"})");
+  odd.push_back(good + R"(,"more":)" + deep + "}");
+  odd.push_back(deep);
+  odd.push_back(R"({"address":"10.0.0.1:7000","data_centre":")" +
+                std::string(1U << 20U, 'x') + "\"}");
+  for (const std::string& text : odd) {
+    BOOST_TEST_CONTEXT(text.substr(0, 200))
+    {
+      const auto read = gpParseEntryRecord(text);
+      BOOST_TEST((gpErrorCodeOf(read.status()) == gpErrorCode::BadRecord));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
