--- a/Tests/Platform/testPlatformStore.cxx
+++ b/Tests/Platform/testPlatformStore.cxx
@@ -132,6 +132,32 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(RefusesQueuesWithFieldsOutOfRange)
+{
+  const std::string start =
+    R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/",)"
+    R"("service":"ponds",")";
+  const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+  BOOST_TEST(store_.ParseQueues(start + R"(stretch":1}]})").ok());
+  for (const char* field : { "priority", "maxAttempts", "stretch" }) {
+    for (const std::string& odd : { std::string("-1"),
+                                    std::string("4294967296"),
+                                    std::string("18446744073709551616"),
+                                    std::string("1e400"),
+                                    std::string("null"),
+                                    std::string("\"1\""),
+                                    deep }) {
+      BOOST_TEST_CONTEXT(field << " " << odd.substr(0, 50))
+      {
+        const auto queues =
+          store_.ParseQueues(start + field + "\":" + odd + "}]}");
+        BOOST_CHECK(gpErrorCodeOf(queues.status()) ==
+                    gpErrorCode::BadConfiguration);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnOddItemLeavesThoseBesideIt)
 {
   for (const char* odd : { "5",
