--- a/Tests/Platform/testPlatformJobs.cxx
+++ b/Tests/Platform/testPlatformJobs.cxx
@@ -1,3 +1,4 @@
+#include <absl/strings/str_cat.h>
 #include <boost/test/unit_test.hpp>
 
 #include "gpError.h"
@@ -85,6 +86,30 @@
               gpErrorCode::NotFound);
 }
 
+BOOST_AUTO_TEST_CASE(RefusesNumbersOutOfRangeAndDeepNesting)
+{
+  const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+  for (const char* field :
+       { "count", "cpu", "memMb", "gpu", "estimateMs", "dependsOn" }) {
+    for (const std::string& odd : { std::string("-1"),
+                                    std::string("1.5"),
+                                    std::string("1e400"),
+                                    std::string("18446744073709551615"),
+                                    std::string("null"),
+                                    deep }) {
+      BOOST_TEST_CONTEXT(field << " " << odd.substr(0, 50))
+      {
+        const std::string body = R"({"bestEffort":true,"steps":[{")";
+        const gpErrorCode error =
+          ParseError(absl::StrCat(body, field, "\":", odd, "}]}"));
+        BOOST_CHECK(error == gpErrorCode::BadRequest);
+      }
+    }
+  }
+  BOOST_CHECK(ParseError(deep) == gpErrorCode::BadRequest);
+  BOOST_CHECK(ParseError("{\"spec\":\"\xff\"}") == gpErrorCode::BadRequest);
+}
+
 BOOST_AUTO_TEST_CASE(DistinguishesStateCountAndCancelRequests)
 {
   gpHttpRequest request = Submission("");
--- a/Tests/Platform/testPlatformStore.cxx
+++ b/Tests/Platform/testPlatformStore.cxx
@@ -2,6 +2,7 @@
 #include <string>
 #include <vector>
 
+#include <absl/strings/str_cat.h>
 #include <boost/test/unit_test.hpp>
 
 #include "gpError.h"
@@ -150,7 +151,7 @@
       BOOST_TEST_CONTEXT(field << " " << odd.substr(0, 50))
       {
         const auto queues =
-          store_.ParseQueues(start + field + "\":" + odd + "}]}");
+          store_.ParseQueues(absl::StrCat(start, field, "\":", odd, "}]}"));
         BOOST_CHECK(gpErrorCodeOf(queues.status()) ==
                     gpErrorCode::BadConfiguration);
       }
