Crashes: Let guards remember the crashes that entries tell of

What callers would see: a task is started three times more after it has crashed three targets (BUDGET).

Cause: a crash was known to the guard of its target and to the entries alone. The design names a loss of power of all as the limit, which this isn't.

Now entries forward crashes to guards too, and a guard tells them to entries that link within 10 s. No message changes its form.

Ruled out: a crash that no guard saw, a report that was lost on its way.

The new test before (without the change to gpEntryPeers and the guard): testCrashes.cxx(542): critical check told.size() == 1U has failed and after: gpTestCrashes, gpTestLeaseGuard, gpTestLeaseEntry pass.

--- a/Source/Lease/gpCrashReporter.h
+++ b/Source/Lease/gpCrashReporter.h
@@ -16,6 +16,9 @@
 class gpCrashReporter
 {
 public:
+  /// How long an entry that links with the guard is told of a crash.
+  static constexpr gpMillis kKeepTime{ 10000 };
+
   /// The numbers of the crashes begin above aFirstNumber, which must be higher
   /// than any number that earlier incarnations of the guard have used.
   gpCrashReporter(gpServiceName aService,
@@ -61,9 +64,6 @@
   std::vector<gpTargetCrash> List() const { return crashes_.List(); }
 
 private:
-  /// How long an entry that links with the guard is told of a crash.
-  static constexpr gpMillis kKeepTime{ 10000 };
-
   void Report(const std::string& aTarget,
               gpCrashState aState,
               gpTime aNow,
--- a/Source/Lease/gpEntryPeers.cxx
+++ b/Source/Lease/gpEntryPeers.cxx
@@ -30,7 +30,11 @@
     finder_.Release(link, aOut);
   }
   if (!crashes_.empty()) {
-    SendToEntries({ {}, std::exchange(crashes_, {}), {} }, aOut);
+    const gpEntryUpdate told{ {}, std::exchange(crashes_, {}), {} };
+    for (const auto& [link, guard] : aGuards) {
+      aOut.Send(link, told);
+    }
+    SendToEntries(told, aOut);
   }
   const auto update = finder_.TakeUpdate(aNow);
   if (!update.has_value()) {
--- a/Source/Lease/gpEntryPeers.h
+++ b/Source/Lease/gpEntryPeers.h
@@ -34,7 +34,7 @@
   {
     finder_.OnDialFailed(aEntry, aNow);
   }
-  /// Sends the crash to all linked entries with the next update.
+  /// Sends the crash to all linked entries and guards with the next update.
   void Forward(const gpTargetCrash& aCrash) { crashes_.push_back(aCrash); }
   /// The list of known entries, for a process whose link has just opened.
   gpEntryUpdate MakeUpdate(gpTime aNow) const
@@ -42,8 +42,7 @@
     return finder_.MakeUpdate(aNow);
   }
   /// Updates the choice of entries and closes surplus links. Sends newly
-  /// learned entries to all linked entries and to the guards, and crashes to
-  /// the entries.
+  /// learned entries, and crashes, to all linked entries and to the guards.
   void Update(const std::map<gpLinkId, gpIncarnation>& aGuards,
               gpTime aNow,
               gpLeaseEffects& aOut);
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -113,6 +113,10 @@
   const gpIncarnation entry = aEvent.peer_.incarnation_;
   links_.Open(aEvent.link_, *aEvent.dialed_, entry);
   out_.Send(aEvent.link_, gpRunsHeld{ runs_.ListRunsOf(entry) });
+  std::vector<gpTargetCrash> crashes = toldCrashes_.List();
+  if (!crashes.empty()) {
+    out_.Send(aEvent.link_, gpEntryUpdate{ {}, std::move(crashes), {} });
+  }
 }
 
 void
@@ -170,6 +174,9 @@
                                const gpEntryUpdate& aMessage)
 {
   links_.GetFinder().Learn(aMessage.entries_);
+  for (const gpTargetCrash& crash : aMessage.crashes_) {
+    toldCrashes_.Learn(crash, now_);
+  }
 }
 
 void
@@ -522,6 +529,7 @@
 gpLeaseGuardReducer::On(const gpTimePassed&)
 {
   crashReporter_.DropOld(now_);
+  toldCrashes_.DropOld(now_);
   if (target_.IsSilent(now_) && !runs_.IsEmpty() &&
       target_.HasLeaseExpired(now_)) {
     WriteTarget(gpEventKind::TargetLeaving,
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -139,6 +139,9 @@
   gpPollSchedule pollSchedule_;
   gpTargetSpeed speed_;
   gpCrashReporter crashReporter_;
+  /// Crashes of other targets as well, of which entries have told. Entries that
+  /// link are told of them, as all that counted them may have been killed.
+  gpRecentCrashes toldCrashes_{ gpCrashReporter::kKeepTime };
   /// The announcement in the store, if this process knows it.
   std::optional<gpTargetRecord> record_;
   /// Whether the target itself refuses what doesn't fit, by the last order.
--- a/Source/Lease/gpRecentCrashes.cxx
+++ b/Source/Lease/gpRecentCrashes.cxx
@@ -9,6 +9,20 @@
   }
 }
 
+void
+gpRecentCrashes::Learn(const gpTargetCrash& aCrash, gpTime aNow)
+{
+  for (auto& [notedAt, known] : crashes_) {
+    if (known.target_ == aCrash.target_ && known.number_ == aCrash.number_) {
+      if (aCrash.state_ != gpCrashState::Suspected) {
+        known.state_ = aCrash.state_;
+      }
+      return;
+    }
+  }
+  Add(aCrash, aNow);
+}
+
 void
 gpRecentCrashes::Settle(const std::string& aTarget,
                         std::uint64_t aNumber,
--- a/Source/Lease/gpRecentCrashes.h
+++ b/Source/Lease/gpRecentCrashes.h
@@ -19,6 +19,9 @@
   }
 
   void Add(gpTargetCrash aCrash, gpTime aNow);
+  /// Adds a crash of which another process has told, or stores what has become
+  /// known about it if it was told before.
+  void Learn(const gpTargetCrash& aCrash, gpTime aNow);
   /// Stores what has become known about a crash of the target, unless it's too
   /// old.
   void Settle(const std::string& aTarget,
--- a/Source/Model/gpRunMessages.h
+++ b/Source/Model/gpRunMessages.h
@@ -138,7 +138,8 @@
 /** \class gpEntryUpdate
  * \brief Entry to any process: entries and crashes that the sender knows. All
  * of them are sent when the link opens, and later each one that the sender
- * learns of. Guards are only sent entries.
+ * learns of. Guards are sent the crashes only of which the entry learns while
+ * they are linked, and tell them to entries that link later.
  */
 struct gpEntryUpdate
 {
--- a/Tests/Lease/testCrashes.cxx
+++ b/Tests/Lease/testCrashes.cxx
@@ -9,6 +9,8 @@
 #include "gpCrashDetector.h"
 #include "gpCrashLedger.h"
 #include "gpCrashMonitor.h"
+#include "gpLeaseEntryReducer.h"
+#include "gpLeaseGuardReducer.h"
 #include "gpQueueContainment.h"
 
 namespace {
@@ -487,3 +489,81 @@
   crashes.Add({ kQueue }, kSmallChance);
   BOOST_TEST(crashes.IsContained(kQueue));
 }
+
+namespace {
+
+gpLinkOpened
+MakeLink(gpLinkId aLink, gpRole aRole, bool aIsDialed)
+{
+  gpLinkOpened opened;
+  opened.link_ = aLink;
+  opened.peer_.role_ = aRole;
+  opened.peer_.incarnation_ = gpIncarnation(aLink.value_);
+  if (aIsDialed) {
+    opened.dialed_ = gpAddress("entry:" + std::to_string(aLink.value_));
+  }
+  return opened;
+}
+
+/// The crashes of which the process on the link is told as entries tell peers.
+std::vector<gpTargetCrash>
+CrashesToldOn(gpLinkId aLink, const std::vector<gpLeaseEffect>& aEffects)
+{
+  std::vector<gpTargetCrash> crashes;
+  for (const gpLeaseEffect& effect : aEffects) {
+    const auto* send = std::get_if<gpSend>(&effect);
+    const auto* update = send != nullptr && send->link_ == aLink
+                           ? std::get_if<gpEntryUpdate>(&send->message_)
+                           : nullptr;
+    if (update != nullptr) {
+      crashes.insert(
+        crashes.end(), update->crashes_.begin(), update->crashes_.end());
+    }
+  }
+  return crashes;
+}
+
+} // namespace
+
+// Guards against a count that is lost while most processes are up, as the
+// entries and the one guard that knew of the crash were killed in turn.
+BOOST_AUTO_TEST_CASE(ANewEntryIsToldOfACrashByAGuardOfAnotherTarget)
+{
+  const gpLinkId crashed(1);
+  const gpLinkId other(2);
+  const gpLinkId entry(3);
+  gpLeaseEntryReducer counting(gpLeaseEntryOptions{});
+  counting.Reduce({ kStart, MakeLink(crashed, gpRole::Guard, false) });
+  counting.Reduce({ kStart, MakeLink(other, gpRole::Guard, false) });
+  gpTargetUpdate update;
+  update.crashes_ = { MakeCrash(1, "job.0.0.0", false) };
+  const auto told = CrashesToldOn(
+    other, counting.Reduce({ kStart, gpMessageReceived{ crashed, update } }));
+  BOOST_REQUIRE(told.size() == 1U);
+
+  gpLeaseGuardReducer guard(gpLeaseGuardOptions{});
+  guard.Reduce({ kStart, MakeLink(entry, gpRole::Entry, true) });
+  const gpMessageReceived message{ entry, gpEntryUpdate{ {}, told, {} } };
+  guard.Reduce({ kStart, message });
+  const gpLinkId restarted(4);
+  const auto heard = CrashesToldOn(
+    restarted,
+    guard.Reduce({ kStart, MakeLink(restarted, gpRole::Entry, true) }));
+  BOOST_TEST((heard == update.crashes_));
+}
+
+// Guards against a target that was only cut off, and whose crash entries that
+// start count all the same.
+BOOST_AUTO_TEST_CASE(ACrashThatWasToldBeforeIsRefuted)
+{
+  gpRecentCrashes told(gpMillis(10000));
+  gpTargetCrash crash = MakeCrash(1, "job.0.0.0", false);
+  crash.state_ = gpCrashState::Suspected;
+  told.Learn(crash, kStart);
+  crash.state_ = gpCrashState::Refuted;
+  told.Learn(crash, kStart);
+  crash.state_ = gpCrashState::Suspected;
+  told.Learn(crash, kStart);
+  BOOST_REQUIRE(told.List().size() == 1U);
+  BOOST_TEST((told.List().front().state_ == gpCrashState::Refuted));
+}
