--- a/Source/Lease/gpEntryPeers.cxx
+++ b/Source/Lease/gpEntryPeers.cxx
@@ -30,9 +30,12 @@
     finder_.Release(link, aOut);
   }
   if (!crashes_.empty()) {
-    gpEntryUpdate crashes;
-    crashes.crashes_ = std::exchange(crashes_, {});
-    SendToEntries(crashes, aOut);
+    gpEntryUpdate told;
+    told.crashes_ = std::exchange(crashes_, {});
+    for (const auto& [link, guard] : aGuards) {
+      aOut.Send(link, told);
+    }
+    SendToEntries(told, aOut);
   }
   TellEnded(aNow, aOut);
   const auto update = finder_.TakeUpdate(aNow);
--- a/Source/Lease/gpEntryPeers.h
+++ b/Source/Lease/gpEntryPeers.h
@@ -34,7 +34,7 @@
   {
     finder_.OnDialFailed(aEntry, aNow);
   }
-  /// Sends the crash to all linked entries with the next update.
+  /// Sends the crash to all linked entries and guards with the next update.
   void Forward(const gpTargetCrash& aCrash) { crashes_.push_back(aCrash); }
   /// Sends the cancelled job to all linked entries, with others at most once
   /// in kTellPeriod.
@@ -53,7 +53,7 @@
     return finder_.MakeUpdate(aNow);
   }
   /// Updates the choice of entries and closes surplus links. Sends newly
-  /// learned entries to all linked entries and to the guards, and crashes and
+  /// learned entries and crashes to all linked entries and to the guards, and
   /// ended jobs to the entries.
   void Update(const std::map<gpLinkId, gpIncarnation>& aGuards,
               gpTime aNow,
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -119,6 +119,12 @@
   const gpIncarnation entry = aEvent.peer_.incarnation_;
   links_.Open(aEvent.link_, *aEvent.dialed_, entry);
   out_.Send(aEvent.link_, gpRunsHeld{ runs_.ListRunsOf(entry) });
+  std::vector<gpTargetCrash> crashes = toldCrashes_.List();
+  if (!crashes.empty()) {
+    gpEntryUpdate update;
+    update.crashes_ = std::move(crashes);
+    out_.Send(aEvent.link_, std::move(update));
+  }
 }
 
 void
@@ -176,6 +182,9 @@
                                const gpEntryUpdate& aMessage)
 {
   links_.GetFinder().Learn(aMessage.entries_);
+  for (const gpTargetCrash& crash : aMessage.crashes_) {
+    toldCrashes_.Learn(crash, now_);
+  }
 }
 
 void
@@ -556,6 +565,7 @@
 gpLeaseGuardReducer::On(const gpTimePassed&)
 {
   crashReporter_.DropOld(now_);
+  toldCrashes_.DropOld(now_);
   if (!MayRenewLease() && !runs_.IsEmpty() && target_.HasLeaseExpired(now_)) {
     if (target_.IsSilent(now_)) {
       WriteTarget(gpEventKind::TargetLeaving,
--- a/Source/Model/gpRunMessages.h
+++ b/Source/Model/gpRunMessages.h
@@ -148,9 +148,11 @@
 };
 
 /** \class gpEntryUpdate
- * \brief Entry to any process: entries, crashes and ended jobs that the sender
+ * rief Entry to any process: entries, crashes and ended jobs that the sender
  * knows. All of them are sent when the link opens, and later each one that the
- * sender learns of. Guards are only sent entries.
+ * sender learns of. Guards aren't sent ended jobs, and crashes only those of
+ * which the entry learns while they are linked; they tell these to entries that
+ * link later.
  */
 struct gpEntryUpdate
 {
