--- a/Tests/Lease/testCrashes.cxx
+++ b/Tests/Lease/testCrashes.cxx
@@ -543,8 +543,9 @@
 
   gpLeaseGuardReducer guard(gpLeaseGuardOptions{});
   guard.Reduce({ kStart, MakeLink(entry, gpRole::Entry, true) });
-  const gpMessageReceived message{ entry, gpEntryUpdate{ {}, told, {} } };
-  guard.Reduce({ kStart, message });
+  gpEntryUpdate forwarded;
+  forwarded.crashes_ = told;
+  guard.Reduce({ kStart, gpMessageReceived{ entry, forwarded } });
   const gpLinkId restarted(4);
   const auto heard = CrashesToldOn(
     restarted,
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -789,6 +789,10 @@
 
 namespace {
 
+const gpLinkId kOtherLink(2);
+const gpRunId kOtherRun{ "other.0.0.1", 2 };
+const gpRunId kNextRun{ "next.0.0.1", 3 };
+
 /// A guard with a run of each of two entries at a target that answers polls and
 /// starts, but no stops.
 class GuardWithoutStops : public GuardWithTarget
@@ -815,10 +819,6 @@
     RunFor(aTime, gpOrderReply::Accepted);
     Order(kOtherLink, kNextRun);
   }
-
-  const gpLinkId kOtherLink{ 2 };
-  const gpRunId kOtherRun{ "other.0.0.1", 2 };
-  const gpRunId kNextRun{ "next.0.0.1", 3 };
 };
 
 } // namespace
@@ -860,7 +860,7 @@
   BOOST_TEST(guard.renewals_ == 0);
   BOOST_TEST(guard.starts_ == 0);
   guard.stopReply_.reset();
-  guard.running_ = { guard.kOtherRun };
+  guard.running_ = { kOtherRun };
   guard.RunFor(gpMillis(50), gpOrderReply::Accepted);
   guard.RunAndCount(gpMillis(100));
   BOOST_TEST(guard.renewals_ > 0);
