--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -23,6 +23,10 @@
 constexpr gpMillis kCapacitySlack = kHeartbeat + kLongestPause + gpMillis(10);
 /// Time until the store has answered a read.
 constexpr gpMillis kStoreLatency{ 4 };
+/// The capacity of a target that has shrunk, in thousandths of its former one.
+constexpr std::uint64_t kShrunkShare = 550;
+/// How many times as many jobs callers submit in a burst, in thousandths.
+constexpr std::size_t kBurst = 1400;
 /// Upper bound of how long a run continues after its caller has left: covers
 /// the loss of a link, the lease and repeated stops.
 constexpr gpMillis kLongestRunAfterEnd{ 3000 };
@@ -63,6 +67,7 @@
   records_.resize(options_.guards_);
   waitingPolls_.resize(options_.guards_);
   cutUntil_.resize(options_.guards_);
+  stopping_.resize(options_.guards_);
   for (std::size_t index = 0; index < options_.guards_; ++index) {
     StartTarget(index);
     StartGuard(index);
@@ -75,6 +80,17 @@
     StartEntry(index);
   }
   At(now_ + gpMillis(200), [this] { SubmitLater(); });
+  if (options_.giverKills_) {
+    for (const int fifths : { 2, 4 }) {
+      At(now_ + options_.length_ * fifths / 5, [this] {
+        giverKills_ += entries_[giver_].alive_ ? 1 : 0;
+        Kill(entries_[giver_]);
+      });
+    }
+  }
+  if (options_.shrunkBurst_) {
+    At(now_ + options_.length_ / 4, [this] { ShrinkTargets(); });
+  }
   if (options_.faultPause_ > gpMillis(0)) {
     At(now_ + gpMillis(300), [this] { Fault(); });
   }
@@ -435,6 +451,7 @@
   Link& link = links_.at(aSend.link_.value_);
   const int from = EndOf(link, aProcess);
   if (const auto* order = std::get_if<gpRunOrder>(&aSend.message_)) {
+    giver_ = aProcess.index_;
     for (const gpRunId& run : order->runs_) {
       ordered_.emplace(run, newest_.at(gpJobOfTask(run.task_)));
       needs_.emplace(run, order->needs_);
@@ -479,6 +496,7 @@
     const gpOrderReply reply = target->Start(aStart, run, now_);
     if (reply == gpOrderReply::Accepted) {
       CheckStarted(aStart.run_);
+      startsBesideStops_ += stopping_[aGuard].empty() ? 0 : 1;
       CheckCapacity(aGuard);
       CarryDeadly(aGuard, aStart.run_);
     }
@@ -525,8 +543,14 @@
     });
     return;
   }
-  At(now_ + DrawLatency(), [this, aGuard, aStop, carry] {
+  gpMicros delay = DrawLatency();
+  if (options_.slowestStop_ > gpMillis(0)) {
+    delay += gpMillis(Draw(options_.slowestStop_.count()));
+    stopping_[aGuard].insert(aStop.run_);
+  }
+  At(now_ + delay, [this, aGuard, aStop, carry] {
     const gpOrderReply reply = carry();
+    stopping_[aGuard].erase(aStop.run_);
     AtProcess(
       guards_[aGuard], now_ + DrawLatency(), [this, aGuard, aStop, reply] {
         GiveGuard(aGuard, gpStopReplied{ aStop.run_, reply, 0 });
@@ -669,7 +693,11 @@
   }
   firstQueueJobs_ += PathOf(job) == kPath ? 1 : 0;
   Submit(job, 1);
-  At(now_ + gpMillis(5 + Draw(60)), [this] { SubmitLater(); });
+  gpMicros pause = gpMillis(5 + Draw(60));
+  if (IsBurst()) {
+    pause = pause * 1000 / kBurst;
+  }
+  At(now_ + pause, [this] { SubmitLater(); });
 }
 
 std::string
@@ -949,6 +977,24 @@
      [this, aGuard] { ChangeCapacity(aGuard); });
 }
 
+void
+gpLeaseHistory::ShrinkTargets()
+{
+  for (std::size_t guard = 0; guard < guards_.size(); guard += 4) {
+    capacities_[guard].Change(kTargetMilliCores * kShrunkShare / 1000, now_);
+    At(now_ + options_.length_ / 2,
+       [this, guard] { capacities_[guard].Change(kTargetMilliCores, now_); });
+  }
+}
+
+bool
+gpLeaseHistory::IsBurst() const
+{
+  const gpTime start = end_ - options_.length_;
+  return options_.shrunkBurst_ && now_ >= start + options_.length_ * 2 / 5 &&
+         now_ < start + options_.length_ * 3 / 5;
+}
+
 void
 gpLeaseHistory::CheckCapacity(std::size_t aGuard)
 {
--- a/Tests/Lease/gpLeaseHistory.h
+++ b/Tests/Lease/gpLeaseHistory.h
@@ -50,6 +50,15 @@
   bool resubmitsFailed_ = false;
   /// Whether entries have links with each other.
   bool peerLinks_ = false;
+  /// Whether the entry that has given the last order is killed at two fifths
+  /// and at four fifths of the length.
+  bool giverKills_ = false;
+  /// Whether a quarter of the targets shrink to kShrunkShare of their capacity,
+  /// and callers submit kBurst times as many jobs in the middle of that time.
+  bool shrunkBurst_ = false;
+  /// Longest time until a target carries out a stop that it has received; its
+  /// run goes on meanwhile.
+  gpMillis slowestStop_{ 0 };
 };
 
 /** \class gpLeaseHistory
@@ -85,6 +94,10 @@
   std::size_t CountStarts() const { return starts_; }
   /// Number of links that guards closed because other entries replaced them.
   std::size_t CountMoves() const { return moves_; }
+  /// Number of starts at a target that had a run which was being stopped, and
+  /// of kills of the entry that had given the last order.
+  std::size_t CountStartsBesideStops() const { return startsBesideStops_; }
+  std::size_t CountGiverKills() const { return giverKills_; }
 
 private:
   struct Process
@@ -197,6 +210,10 @@
   /// Makes the target unreachable for a random time.
   void CutTarget(std::size_t aGuard);
   void ChangeCapacity(std::size_t aGuard);
+  /// Shrinks a quarter of the targets for half of the length.
+  void ShrinkTargets();
+  /// Whether callers submit more jobs now.
+  bool IsBurst() const;
   /// Checks that a run which has just started fits into its target.
   void CheckCapacity(std::size_t aGuard);
   bool IsCut(std::size_t aGuard) const { return now_ < cutUntil_[aGuard]; }
@@ -246,6 +263,12 @@
   std::size_t refused_ = 0;
   std::size_t starts_ = 0;
   std::size_t moves_ = 0;
+  /// The entry that has given the last order, and the runs that each target is
+  /// to stop.
+  std::size_t giver_ = 0;
+  std::size_t giverKills_ = 0;
+  std::vector<std::set<gpRunId>> stopping_;
+  std::size_t startsBesideStops_ = 0;
   gpDeadlyTasks deadly_;
   std::size_t wronglyGivenUp_ = 0;
   std::size_t firstQueueJobs_ = 0;
--- a/Tests/Lease/testLeaseHistories.cxx
+++ b/Tests/Lease/testLeaseHistories.cxx
@@ -10,8 +10,16 @@
 
 namespace {
 
+/// What happened in all histories of a run.
+struct Totals
+{
+  std::size_t startsBesideStops_ = 0;
+  std::size_t giverKills_ = 0;
+  std::size_t deadlyCrashes_ = 0;
+};
+
 /// Runs histories of consecutive seeds.
-void
+Totals
 RunHistories(gpLeaseHistoryOptions aOptions, std::uint64_t aDefaultCount)
 {
   const std::uint64_t first = gpNumberFromEnvironment("GP_HISTORY_SEED", 1);
@@ -21,6 +29,7 @@
   std::size_t completed = 0;
   std::size_t moves = 0;
   std::size_t wronglyGivenUp = 0;
+  Totals totals;
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     aOptions.seed_ = seed;
     gpLeaseHistory history(aOptions);
@@ -29,6 +38,9 @@
     completed += history.CountCompleted();
     moves += history.CountMoves();
     wronglyGivenUp += history.CountWronglyGivenUp();
+    totals.startsBesideStops_ += history.CountStartsBesideStops();
+    totals.giverKills_ += history.CountGiverKills();
+    totals.deadlyCrashes_ += history.CountDeadlyCrashes();
     if (!broken.empty()) {
       BOOST_FAIL(broken.front());
     }
@@ -41,6 +53,7 @@
   BOOST_TEST((moves > 0) == hasSubsets);
   BOOST_TEST(starts > count);
   BOOST_TEST(completed > count);
+  return totals;
 }
 
 /// A tenth of the jobs of one queue have a task that crashes each target that
@@ -162,6 +175,19 @@
   RunHistories(options, 1000);
 }
 
+// Guards against a start into the room of a run that is still being stopped.
+BOOST_AUTO_TEST_CASE(HistoriesWithABurstBesideShrunkTargetsKeepTheLimits)
+{
+  gpLeaseHistoryOptions options;
+  options.guards_ = 4;
+  options.length_ = gpMillis(6000);
+  options.faultPause_ = gpMillis(0);
+  options.lostOrders_ = 0;
+  options.shrunkBurst_ = true;
+  options.slowestStop_ = gpMillis(50);
+  BOOST_TEST(RunHistories(options, 200).startsBesideStops_ > 0U);
+}
+
 // Guards against a task that is placed again each time after it has crashed its
 // target, as the run counts as stopped and a repeated submission as a new job.
 BOOST_AUTO_TEST_CASE(HistoriesWithDeadlyTasksGiveThemUp)
@@ -185,6 +211,17 @@
   }
 }
 
+// Guards against crashes that are forgotten with the entry that ordered last.
+BOOST_AUTO_TEST_CASE(HistoriesWithDeadlyTasksSurviveTheLossOfTheGiver)
+{
+  gpLeaseHistoryOptions options = MakeDeadlyOptions();
+  options.faultPause_ = gpMillis(0);
+  options.giverKills_ = true;
+  const Totals totals = RunHistories(options, 100);
+  BOOST_TEST(totals.giverKills_ > 0U);
+  BOOST_TEST(totals.deadlyCrashes_ > 0U);
+}
+
 // Guards against a containment that finds only queues of such tasks.
 BOOST_AUTO_TEST_CASE(HistoriesWithLateCrashesServeTheOtherQueue)
 {
