--- a/Tests/Configuration/testTargetRecord.cxx
+++ b/Tests/Configuration/testTargetRecord.cxx
@@ -56,20 +56,26 @@
   const std::string deep = std::string(100000, '[') + std::string(100000, ']');
   const std::string huge(1U << 20U, 'x');
   std::vector<std::string> odd;
+  const auto add =
+    [&](std::string aStart, const std::string& aValue, const char* aEnd) {
+      aStart += aValue;
+      aStart += aEnd;
+      odd.push_back(std::move(aStart));
+    };
   for (const std::string& number : { std::string("-1"),
                                      std::string("1.5"),
                                      std::string("1e400"),
                                      std::string("\"1\""),
                                      std::string("18446744073709551615"),
                                      std::to_string(kMaxTargetResource + 1) }) {
-    odd.push_back(start + number + R"(,"id":"t-1"})");
-    odd.push_back(start + R"(1,"id":"t-1","memory_mb":)" + number + "}");
-    odd.push_back(start + R"(1,"id":"t-1","accelerators":)" + number + "}");
+    add(start, number, R"(,"id":"t-1"})");
+    add(start + R"(1,"id":"t-1","memory_mb":)", number, "}");
+    add(start + R"(1,"id":"t-1","accelerators":)", number, "}");
   }
   // The ID is sent in a header, which it must neither split nor overflow.
   for (const std::string& id :
        { std::string("t-1\\r\\nhost: x"), std::string("t 1"), huge }) {
-    odd.push_back(start + R"(1,"id":")" + id + "\"}");
+    add(start + R"(1,"id":")", id, "\"}");
   }
   odd.push_back(start + R"(1,"id":"t-1","labels":)" + deep + "}");
   odd.push_back(start + "1,\"id\":\"t-\xff\"}");
