--- a/Tests/Integration/Platform/testPlatformCluster.cxx
+++ b/Tests/Integration/Platform/testPlatformCluster.cxx
@@ -57,6 +57,36 @@
   return all;
 }
 
+/// Sends the guard a heartbeat of a target with this ID; returns the status.
+int
+SendHeartbeat(gpPlatformCluster& aCluster,
+              std::size_t aGuard,
+              const std::string& aId,
+              const std::string& aBody)
+{
+  gpHttpRequest request;
+  request.method_ = "PUT";
+  request.target_ = "/v1/instances/" + aId;
+  request.body_ = aBody;
+  return gpStatusOf(aCluster.Http()
+                      .Call(aCluster.Guard(aGuard).Address("target"), request)
+                      .reply_.get());
+}
+
+/// A heartbeat of another writer, as review/1 sends it: without address, zone,
+/// version and clockMs, and with slots of another type. It says that it started
+/// later than any target.
+constexpr const char* kOddForeignHeartbeat =
+  R"({"service":"ponds","slots":"8","state":"ready","labels":["a","r1-1"],)"
+  R"("capacity":{"cpu":4000,"memMb":1024,"gpu":0},"born":9999999999999,)"
+  R"("sequence":1})";
+/// The same with all fields.
+constexpr const char* kForeignHeartbeat =
+  R"({"service":"ponds","slots":8,"state":"ready","labels":["a","r1-1"],)"
+  R"("capacity":{"cpu":4000,"memMb":1024,"gpu":0},"born":9999999999999,)"
+  R"("sequence":1,"address":"10.0.0.1:80","zone":"z","version":"v1",)"
+  R"("clockMs":1,"coldLeftMs":0})";
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(AJobIsServed)
@@ -89,13 +119,7 @@
     { start + deep, "not JSON: " },
   };
   for (const auto& [body, fault] : odd) {
-    gpHttpRequest request;
-    request.method_ = "PUT";
-    request.target_ = "/v1/instances/i-other";
-    request.body_ = body;
-    gpTestCall call =
-      cluster.Http().Call(cluster.Guard(0).Address("target"), request);
-    BOOST_TEST(gpStatusOf(call.reply_.get()) == 400);
+    BOOST_TEST(SendHeartbeat(cluster, 0, "i-other", body) == 400);
   }
   cluster.Guard(0).WaitForEvent(
     "bad_input", { { "detail", "bad_request: heartbeat: " + odd[0].second } });
@@ -110,6 +134,35 @@
   BOOST_TEST(cluster.Entry(0).CountEvents("link_down") == 0U);
 }
 
+// Guards against a second run of a task at one time (review/1): a heartbeat of
+// another writer was taken for a new life of a target, whose runs started
+// elsewhere while it ran them on.
+BOOST_AUTO_TEST_CASE(AForeignHeartbeatStartsNoTaskTwice)
+{
+  constexpr int kTasks = 4;
+  const std::vector<std::pair<const char*, int>> heartbeats = {
+    { kOddForeignHeartbeat, 400 }, { kForeignHeartbeat, 200 }
+  };
+  for (const auto& [heartbeat, status] : heartbeats) {
+    BOOST_TEST_CONTEXT(heartbeat)
+    {
+      gpPlatformCluster cluster(1, 2);
+      cluster.Configure(1);
+      cluster.WaitUntilReady();
+      gpTestCall call = cluster.Submit(0, kJob, kTasks, gpMillis(1000));
+      while (cluster.CountStarts(kJob) < kTasks) {
+        std::this_thread::sleep_for(kPollPeriod);
+      }
+      for (std::size_t guard = 0; guard < cluster.CountGuards(); ++guard) {
+        BOOST_TEST(SendHeartbeat(cluster, guard, "i-other", heartbeat) ==
+                   status);
+      }
+      BOOST_TEST(gpBodyOf(call.reply_.get()) == kCompleted);
+      BOOST_TEST(cluster.CountStarts(kJob) == kTasks);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AJobWhoseTaskFailsIsFailed)
 {
   gpPlatformCluster cluster(1, 2);
