--- a/Source/Command/gpCommandLine.cxx
+++ b/Source/Command/gpCommandLine.cxx
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "gpApplyCommand.h"
+#include "gpBuildVersion.h"
 #include "gpDiffCommand.h"
 #include "gpDrainCommand.h"
 #include "gpExplainCommand.h"
@@ -72,7 +73,7 @@
 gpExitCode
 PrintVersion(std::ostream& aOut)
 {
-  aOut << "gypsumpoint " GP_VERSION "\n";
+  aOut << "gypsumpoint " << gpBuildVersion() << "\n";
   return gpExitCode::Success;
 }
 
--- a/Source/Load/gpLoadOptions.cxx
+++ b/Source/Load/gpLoadOptions.cxx
@@ -5,6 +5,7 @@
 
 #include <boost/program_options.hpp>
 
+#include "gpBuildVersion.h"
 #include "gpError.h"
 
 namespace po = boost::program_options;
@@ -199,7 +200,8 @@
     return gpLoadOptions(gpHelpOptions{ text.str() });
   }
   if (values.count("version") > 0) {
-    return gpLoadOptions(gpHelpOptions{ "gypsumpoint-load " GP_VERSION "\n" });
+    return gpLoadOptions(gpHelpOptions{ "gypsumpoint-load " +
+                                        std::string(gpBuildVersion()) + "\n" });
   }
   const std::string command =
     values.count("command") > 0 ? values["command"].as<std::string>() : "";
--- a/Source/Process/gpDaemonOptions.cxx
+++ b/Source/Process/gpDaemonOptions.cxx
@@ -1,4 +1,5 @@
 #include "gpDaemonOptions.h"
+#include "gpBuildVersion.h"
 
 #include <fstream>
 #include <iostream>
@@ -48,7 +49,7 @@
     return ExitWith(kExitOk);
   }
   if (values.count("version") > 0) {
-    std::cout << aProgram << " " << GP_VERSION << "\n";
+    std::cout << aProgram << " " << gpBuildVersion() << "\n";
     return ExitWith(kExitOk);
   }
   if (options.configFile_.empty()) {
--- a/Source/Process/gpNode.cxx
+++ b/Source/Process/gpNode.cxx
@@ -4,6 +4,7 @@
 #include <random>
 #include <utility>
 
+#include "gpBuildVersion.h"
 #include "gpError.h"
 #include "gpMessageName.h"
 
@@ -69,7 +70,7 @@
   }
   gpTimelineEvent started;
   started.kind_ = gpEventKind::ProcessStarted;
-  started.detail_ = GP_VERSION;
+  started.detail_ = gpBuildVersion();
   Write(started);
   ReportDroppedEvents();
   const auto links = links_.Listen(options_.linkListen_);
