Guard: Drop a claim that the target never answers

If no question got an answer (lost, or refused as 503), it was repeated every 20 ms for good, as the pause was that of the polls, which were answered meanwhile. No log line told of it.

Now the pause of each claim grows to 160 ms, and a claim is dropped, with a log line, when its last heartbeat is 4 s old: a writer that is there goes on sending. Refused fences are climbed at once up to 60 times, then at the longest pause.

--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -21,9 +21,6 @@
 /// the process runs, CheckPause can take a longer gap for a suspension of the
 /// process.
 constexpr gpMillis kTick{ 50 };
-/// How long after a heartbeat the capacity that it has told may be used. Covers
-/// two heartbeat periods; the platform allows another period more.
-constexpr gpMillis kCapacityLifetime{ 4000 };
 
 } // namespace
 
@@ -85,7 +82,7 @@
 gpLeaseGuardReducer::IsCapacityCurrent() const
 {
   return capacityToldAt_.has_value() &&
-         now_ - *capacityToldAt_ < kCapacityLifetime;
+         now_ - *capacityToldAt_ < kHeartbeatLifetime;
 }
 
 bool
@@ -329,6 +326,16 @@
   }
 }
 
+void
+gpLeaseGuardReducer::DropOldClaims()
+{
+  for (const std::string& id : claims_.DropOld(now_)) {
+    WriteTarget(gpEventKind::BadInput,
+                "heartbeat of " + id + ": the target has not answered for " +
+                  gpMillisText(kHeartbeatLifetime));
+  }
+}
+
 void
 gpLeaseGuardReducer::On(const gpTargetIdentified& aEvent)
 {
@@ -343,10 +350,10 @@
       return;
     case gpOrderReply::Fence:
       target_.RaiseFence();
-      claims_.NoteUnanswered(aEvent.id_, now_, gpMillis(0));
+      claims_.NoteFenceRefused(aEvent.id_, now_);
       return;
     default:
-      claims_.NoteUnanswered(aEvent.id_, now_, pollSchedule_.GetPause());
+      claims_.NoteUnanswered(aEvent.id_, now_);
       return;
   }
 }
@@ -566,6 +573,7 @@
 {
   crashReporter_.DropOld(now_);
   toldCrashes_.DropOld(now_);
+  DropOldClaims();
   if (!MayRenewLease() && !runs_.IsEmpty() && target_.HasLeaseExpired(now_)) {
     if (target_.IsSilent(now_)) {
       WriteTarget(gpEventKind::TargetLeaving,
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -111,6 +111,7 @@
   void OnNewIncarnation(bool aIsSameId);
   /// Asks the target whether it is an incarnation that a heartbeat claims.
   void AskForClaims();
+  void DropOldClaims();
   /// The target has answered under this ID as the incarnation of this start
   /// time.
   void SettleClaims(const gpTargetIdentified& aEvent);
--- a/Source/Lease/gpLeaseTimings.h
+++ b/Source/Lease/gpLeaseTimings.h
@@ -47,6 +47,10 @@
               "a running guard must have stopped the runs within the bound");
 static_assert(kLinkSilence >= 3 * kLinkHeartbeat);
 
+/// How long after a heartbeat of a target what it has told may be used. Covers
+/// two heartbeat periods; the platform allows another period more.
+constexpr gpMillis kHeartbeatLifetime{ 4000 };
+
 /// A process that was not scheduled for so long may have unread messages from
 /// before its peers closed their links for silence. It closes its own links
 /// before it reads these messages.
--- a/Source/Lease/gpTargetClaims.cxx
+++ b/Source/Lease/gpTargetClaims.cxx
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gpLeaseTimings.h"
+
 namespace {
 
 bool
@@ -30,7 +32,7 @@
   if (claims_.size() == kMostClaims) {
     claims_.erase(claims_.begin());
   }
-  claims_.push_back({ { aTarget, aNow }, aNow });
+  claims_.push_back({ .claim_ = { aTarget, aNow }, .nextAt_ = aNow });
 }
 
 gpTime
@@ -87,14 +89,43 @@
 }
 
 void
-gpTargetClaims::NoteUnanswered(const std::string& aId,
-                               gpTime aNow,
-                               gpMillis aPause)
+gpTargetClaims::NoteUnanswered(const std::string& aId, gpTime aNow)
+{
+  isAsking_ = false;
+  for (Entry& entry : claims_) {
+    if (entry.claim_.target_.id_ == aId) {
+      entry.nextAt_ = aNow + entry.pause_;
+      entry.pause_ = std::min(2 * entry.pause_, kLongestPause);
+    }
+  }
+}
+
+void
+gpTargetClaims::NoteFenceRefused(const std::string& aId, gpTime aNow)
 {
   isAsking_ = false;
   for (Entry& entry : claims_) {
     if (entry.claim_.target_.id_ == aId) {
-      entry.nextAt_ = aNow + aPause;
+      const bool isAtOnce = ++entry.fenceRefusals_ <= kMostFenceRefusals;
+      entry.nextAt_ = aNow + (isAtOnce ? gpMillis(0) : kLongestPause);
     }
   }
 }
+
+std::vector<std::string>
+gpTargetClaims::DropOld(gpTime aNow)
+{
+  std::vector<std::string> dropped;
+  // While the target is asked, its answer may still confirm a claim.
+  if (isAsking_) {
+    return dropped;
+  }
+  std::erase_if(claims_, [&](const Entry& aEntry) {
+    const bool isOld = aNow - aEntry.claim_.toldAt_ >= kHeartbeatLifetime;
+    if (isOld) {
+      dropped.push_back(aEntry.claim_.target_.id_);
+    }
+    return isOld;
+  });
+  return dropped;
+}
--- a/Source/Lease/gpTargetClaims.h
+++ b/Source/Lease/gpTargetClaims.h
@@ -23,7 +23,8 @@
  *
  * Anybody may have written a heartbeat, so it's no proof that the known
  * incarnation has ended. The last few claims are kept, so that a foreign one
- * doesn't replace a true one.
+ * doesn't replace a true one. A claim that has no answer is repeated after
+ * growing pauses (exponential backoff) until its last heartbeat is too old.
  */
 class gpTargetClaims
 {
@@ -45,18 +46,33 @@
                                        std::uint64_t aStartTime);
   /// The target has another ID.
   void Refute(const std::string& aId);
-  /// The target has not answered; it's to be asked again after aPause.
-  void NoteUnanswered(const std::string& aId, gpTime aNow, gpMillis aPause);
+  /// The target has not answered.
+  void NoteUnanswered(const std::string& aId, gpTime aNow);
+  /// The target has refused the fence of the question. A question with a higher
+  /// one follows at once, up to a limit.
+  void NoteFenceRefused(const std::string& aId, gpTime aNow);
+  /// Drops the claims without a heartbeat for kHeartbeatLifetime, and returns
+  /// their IDs. The claims of a writer that goes on sending are kept.
+  std::vector<std::string> DropOld(gpTime aNow);
 
 private:
   struct Entry
   {
     gpTargetClaim claim_;
     gpTime nextAt_;
+    /// Pause after the next question, if it has no answer.
+    gpMillis pause_ = kFirstPause;
+    int fenceRefusals_ = 0;
   };
 
   /// Bound of the calls to the target, whatever number of heartbeats arrives.
   static constexpr gpMillis kShortestPause{ 5 };
+  /// First and longest pause between two questions about one claim.
+  static constexpr gpMillis kFirstPause{ 20 };
+  static constexpr gpMillis kLongestPause{ 160 };
+  /// So many refusals for the fence are followed by a question at once: more
+  /// than the fence needs to reach its limit, as each one doubles the raise.
+  static constexpr int kMostFenceRefusals = 60;
   static constexpr std::size_t kMostClaims = 4;
 
   std::vector<Entry> claims_;
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -71,7 +71,10 @@
           std::holds_alternative<gpStartRun>(effect)) {
         starts_ += std::holds_alternative<gpStartRun>(effect) ? 1 : 0;
         const auto* poll = std::get_if<gpPollTarget>(&effect);
-        renewals_ += poll != nullptr && poll->leaseEnd_.has_value() ? 1 : 0;
+        if (poll != nullptr && poll->leaseEnd_.has_value()) {
+          ++renewals_;
+          leaseEnd_ = *poll->leaseEnd_;
+        }
         calls_.push_back(std::move(effect));
       } else if (std::holds_alternative<gpCloseLink>(effect)) {
         ++closedLinks_;
@@ -131,10 +134,14 @@
   std::uint64_t startTime_ = 0;
   /// The runs that answers to polls list.
   std::vector<gpRunId> running_;
-  /// The reply to stops, if it's another one than that to the other calls.
+  /// The reply to stops, and to questions which incarnation the target is, if
+  /// it's another one than that to the other calls.
   std::optional<gpOrderReply> stopReply_;
+  std::optional<gpOrderReply> askReply_;
   /// Polls that renewed the lease.
   int renewals_ = 0;
+  /// The end of the lease that the last of them asked for.
+  std::uint64_t leaseEnd_ = 0;
   /// The fence of the last poll.
   std::uint64_t polledFence_ = 0;
   /// The highest fence that the target has seen. It refuses lower ones.
@@ -166,9 +173,10 @@
       Feed(gpStartReplied{ start->run_, reply, 0 });
     } else if (const auto* call = std::get_if<gpIdentifyTarget>(&aCall)) {
       ++asks_;
-      const bool isOther = aReply == gpOrderReply::Accepted && call->id_ != id_;
+      const gpOrderReply reply = askReply_.value_or(aReply);
+      const bool isOther = reply == gpOrderReply::Accepted && call->id_ != id_;
       Feed(gpTargetIdentified{
-        call->id_, isOther ? gpOrderReply::OtherTarget : aReply, startTime_ });
+        call->id_, isOther ? gpOrderReply::OtherTarget : reply, startTime_ });
     } else {
       ++polls_;
       gpPollReplied seen;
@@ -701,6 +709,25 @@
   BOOST_TEST(guard.asks_ <= kMostAsks);
 }
 
+// Guards against a target that is asked without end about a claim of a writer
+// that is gone, as no question gets an answer.
+BOOST_AUTO_TEST_CASE(AClaimWithoutAnAnswerIsDropped)
+{
+  constexpr int kSeconds = 10;
+  GuardWithTarget guard;
+  guard.startTime_ = 1;
+  guard.askReply_ = gpOrderReply::Silent;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.Feed(gpHeartbeatReceived{ MakeSuccessor("t-9", 9, 1) });
+  guard.RunFor(gpMillis(1000), gpOrderReply::Accepted);
+  BOOST_TEST(guard.asks_ > 1);
+  BOOST_TEST(guard.asks_ <= kMostCallsASecond);
+  guard.RunFor(gpMillis(1000 * kSeconds), gpOrderReply::Accepted);
+  const int asksBefore = guard.asks_;
+  guard.RunFor(gpMillis(1000 * kSeconds), gpOrderReply::Accepted);
+  BOOST_TEST(guard.asks_ == asksBefore);
+}
+
 // Guards against a crash that is reported without its runs, or without the one
 // to blame: answers of the next incarnation were taken for the known one's.
 BOOST_AUTO_TEST_CASE(AnswersOfTheNextIncarnationDoNotHideTheLostRuns)
