Guard: Keep a drain that a claim told

One foreign heartbeat of this incarnation with a higher number replaced the claim, or hid the true one that came after it, so the drain was forgotten until the next heartbeat, and the leaving target got work.

Now a claim leaves if any heartbeat of it says so, as for the known incarnation.

The test on the code before, in both orders: guard.starts_ == starts has failed [2 != 1]

--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -370,7 +370,8 @@
   }
   // A later heartbeat may have been accepted while the target was asked.
   const bool isOutdated = target_.IsPresent(claim->target_) &&
-                          claim->target_.sequence_ <= target_.Get().sequence_;
+                          claim->target_.sequence_ <= target_.Get().sequence_ &&
+                          !claim->target_.draining_;
   if (!isOutdated) {
     Accept(claim->target_, claim->toldAt_);
   }
--- a/Source/Lease/gpTargetClaims.cxx
+++ b/Source/Lease/gpTargetClaims.cxx
@@ -23,10 +23,13 @@
       return IsSameIncarnation(aEntry.claim_.target_, aTarget);
     });
   if (known != claims_.end()) {
+    const bool isDraining =
+      aTarget.draining_ || known->claim_.target_.draining_;
     if (aTarget.sequence_ > known->claim_.target_.sequence_) {
       known->claim_ = { aTarget, aNow };
       known->nextAt_ = aNow;
     }
+    known->claim_.target_.draining_ = isDraining;
     return;
   }
   if (claims_.size() == kMostClaims) {
--- a/Source/Lease/gpTargetClaims.h
+++ b/Source/Lease/gpTargetClaims.h
@@ -30,7 +30,7 @@
 {
 public:
   /// Notes a heartbeat; a later one of the same incarnation replaces an earlier
-  /// one.
+  /// one. The incarnation leaves if any of them says so, as one may be foreign.
   void Note(const gpTargetAnnouncement& aTarget, gpTime aNow);
   bool IsEmpty() const { return claims_.empty(); }
   /// When the target is to be asked next; the maximum while it's being asked,
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -728,6 +728,27 @@
   BOOST_TEST(guard.asks_ == asksBefore);
 }
 
+// Guards against new work for a leaving target, whose drain is forgotten with a
+// foreign heartbeat of its incarnation before the target has answered.
+BOOST_AUTO_TEST_CASE(AHeartbeatWithAHighSequenceNumberDoesNotHideADrainInAClaim)
+{
+  for (const bool isForeignFirst : { false, true }) {
+    BOOST_TEST_CONTEXT("the foreign one comes first: " << isForeignFirst)
+    {
+      GuardOfLostTarget guard;
+      guard.Replace("t-2", 5);
+      const gpTargetAnnouncement foreign = MakeSuccessor("t-2", 5, 1000);
+      const gpTargetAnnouncement leaving = MakeSuccessor("t-2", 5, 2, true);
+      guard.Feed(gpHeartbeatReceived{ isForeignFirst ? foreign : leaving });
+      guard.Feed(gpHeartbeatReceived{ isForeignFirst ? leaving : foreign });
+      guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+      const int starts = guard.starts_;
+      guard.StartRun();
+      BOOST_TEST(guard.starts_ == starts);
+    }
+  }
+}
+
 // Guards against a crash that is reported without its runs, or without the one
 // to blame: answers of the next incarnation were taken for the known one's.
 BOOST_AUTO_TEST_CASE(AnswersOfTheNextIncarnationDoNotHideTheLostRuns)
