Guard: Count the lease from no clock of an earlier incarnation

An answer to a start or a stop set the target's clock, whichever incarnation had given it. If it arrived after the next incarnation was confirmed (answers on different connections may overtake each other), leases were counted from the earlier, larger clock until the next poll was answered. The target then held its runs for up to a second, while the guard counted them as ended after 450 ms without an answer.

Now an answer counts for the clock only while its run is in the table, which a new incarnation empties.

--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -451,11 +451,12 @@
 void
 gpLeaseGuardReducer::On(const gpStartReplied& aEvent)
 {
-  target_.NoteClock(aEvent.clock_, now_);
-  if (aEvent.reply_ == gpOrderReply::Accepted) {
-    target_.NoteAnswer(now_);
-  }
+  // Otherwise the answer may be of an earlier incarnation.
   if (gpGuardRun* run = runs_.Find(aEvent.run_)) {
+    target_.NoteClock(aEvent.clock_, now_);
+    if (aEvent.reply_ == gpOrderReply::Accepted) {
+      target_.NoteAnswer(now_);
+    }
     NoteStarted(*run, aEvent.reply_);
   }
   NoteReply(aEvent.reply_);
@@ -498,7 +499,9 @@
 void
 gpLeaseGuardReducer::On(const gpStopReplied& aEvent)
 {
-  target_.NoteClock(aEvent.clock_, now_);
+  if (runs_.Find(aEvent.run_) != nullptr) {
+    target_.NoteClock(aEvent.clock_, now_);
+  }
   stopper_.NoteReply(aEvent, now_);
   NoteReply(aEvent.reply_);
 }
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -749,6 +749,24 @@
   }
 }
 
+// Guards against a lease that is longer at the target than its guard believes:
+// its end was counted from the clock in an answer of an earlier incarnation.
+BOOST_AUTO_TEST_CASE(AnAnswerOfAnEarlierIncarnationDoesNotSetTheClock)
+{
+  constexpr std::uint64_t kEarlierClock = 1000000;
+  GuardOfLostTarget guard;
+  guard.Replace("t-2", 5);
+  guard.Feed(gpHeartbeatReceived{ MakeSuccessor("t-2", 5, 1) });
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.Order(kLink, { "next.0.0.1", 2 });
+  guard.Feed(gpStartReplied{ kRun, gpOrderReply::Accepted, kEarlierClock });
+  guard.Feed(gpStopReplied{ kRun, gpOrderReply::Accepted, kEarlierClock });
+  guard.renewals_ = 0;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  BOOST_TEST(guard.renewals_ > 0);
+  BOOST_TEST(guard.leaseEnd_ < kEarlierClock);
+}
+
 // Guards against a crash that is reported without its runs, or without the one
 // to blame: answers of the next incarnation were taken for the known one's.
 BOOST_AUTO_TEST_CASE(AnswersOfTheNextIncarnationDoNotHideTheLostRuns)
