Guard: Keep one link with an entry that has two addresses

The guard linked with it twice; the entry closed its end of the first link, taking the second for proof that the first was over. On the second one the guard told which runs it holds (gpRunsHeld), so the entry placed the others elsewhere, while their orders were unread on the first link: the guard then carried these out, a second run of a task at one time. Besides, each link replaced the other without end, and each time the entry's runs were stopped.

Now the guard closes the first link itself before it tells which runs it holds, stops the entry's runs, and doesn't dial the other address while the link is open. An entry doesn't dial another one twice either.

--- a/Source/Lease/gpEntryFinder.cxx
+++ b/Source/Lease/gpEntryFinder.cxx
@@ -57,14 +57,42 @@
   }
 }
 
-void
-gpEntryFinder::OnLinked(const gpAddress& aEntry, gpLinkId aLink)
+std::optional<gpLinkId>
+gpEntryFinder::OnLinked(const gpAddress& aEntry,
+                        gpLinkId aLink,
+                        gpIncarnation aIncarnation)
 {
+  const auto earlier = ReplaceLink(aIncarnation, aEntry, aLink);
   links_.insert_or_assign(aLink, aEntry);
   Dial& dial = dials_[aEntry];
   dial.link_ = aLink;
+  dial.incarnation_ = aIncarnation;
+  dial.replacedBy_.reset();
   dial.failingSince_.reset();
   hasChanged_ = true;
+  return earlier;
+}
+
+std::optional<gpLinkId>
+gpEntryFinder::ReplaceLink(gpIncarnation aIncarnation,
+                           const gpAddress& aEntry,
+                           gpLinkId aLink)
+{
+  const auto earlier =
+    std::find_if(links_.begin(), links_.end(), [&](const auto& aOther) {
+      return aOther.second != aEntry &&
+             dials_.at(aOther.second).incarnation_ == aIncarnation;
+    });
+  if (earlier == links_.end()) {
+    return std::nullopt;
+  }
+  const gpLinkId link = earlier->first;
+  Dial& dial = dials_.at(earlier->second);
+  dial.link_.reset();
+  dial.surplusSince_.reset();
+  dial.replacedBy_ = aLink;
+  links_.erase(earlier);
+  return link;
 }
 
 void
@@ -125,7 +153,7 @@
         wanted.size() >= options_.links_ * kMostDials) {
       break;
     }
-    if (IsBackingOff(entry, aNow)) {
+    if (IsBackingOff(entry, aNow) || IsDuplicate(entry)) {
       continue;
     }
     wanted.push_back(entry);
@@ -134,6 +162,14 @@
   return wanted;
 }
 
+bool
+gpEntryFinder::IsDuplicate(const gpAddress& aEntry) const
+{
+  const auto found = dials_.find(aEntry);
+  return found != dials_.end() && found->second.replacedBy_.has_value() &&
+         links_.contains(*found->second.replacedBy_);
+}
+
 bool
 gpEntryFinder::IsFailingFor(const gpAddress& aEntry,
                             gpMillis aTime,
--- a/Source/Lease/gpEntryFinder.h
+++ b/Source/Lease/gpEntryFinder.h
@@ -42,7 +42,12 @@
   void SetConfigured(const std::vector<gpAddress>& aEntries);
   /// Adds entries that a peer or the platform's store has named.
   void Learn(const std::vector<gpKnownEntry>& aEntries);
-  void OnLinked(const gpAddress& aEntry, gpLinkId aLink);
+  /// A link has opened with the entry of this incarnation. Returns the earlier
+  /// link with it, which the entry has closed, if there was one under another
+  /// address. The earlier address isn't dialed while the new link is open.
+  std::optional<gpLinkId> OnLinked(const gpAddress& aEntry,
+                                   gpLinkId aLink,
+                                   gpIncarnation aIncarnation);
   void OnLost(gpLinkId aLink, gpTime aNow);
   void OnDialFailed(const gpAddress& aEntry, gpTime aNow);
   /// Recomputes the wanted entries and starts or stops dialing them. Call it
@@ -72,6 +77,10 @@
   {
     bool isWatched_ = false;
     std::optional<gpLinkId> link_;
+    /// The incarnation of the entry that was linked last.
+    gpIncarnation incarnation_;
+    /// The link that replaced this one's, with the same entry.
+    std::optional<gpLinkId> replacedBy_;
     /// Since when the entry has been unreachable; not set while it's linked.
     std::optional<gpTime> failingSince_;
     /// Since when its link has been surplus; not set while it's wanted.
@@ -80,6 +89,13 @@
 
   std::vector<gpAddress> ListWanted(gpTime aNow) const;
   bool IsFailingFor(const gpAddress& aEntry, gpMillis aTime, gpTime aNow) const;
+  /// Whether the entry is linked under another address.
+  bool IsDuplicate(const gpAddress& aEntry) const;
+  /// Removes the link with this incarnation, if any, as it's replaced by aLink
+  /// under the address aEntry. Returns the removed link.
+  std::optional<gpLinkId> ReplaceLink(gpIncarnation aIncarnation,
+                                      const gpAddress& aEntry,
+                                      gpLinkId aLink);
   /// Whether the entry has been unreachable for longer than kBackOffAfter and
   /// is between two retries, so that it isn't dialed now.
   bool IsBackingOff(const gpAddress& aEntry, gpTime aNow) const;
--- a/Source/Lease/gpEntryLinks.cxx
+++ b/Source/Lease/gpEntryLinks.cxx
@@ -15,13 +15,17 @@
 
 } // namespace
 
-void
+std::optional<gpLinkId>
 gpEntryLinks::Open(gpLinkId aLink,
                    const gpAddress& aAddress,
                    gpIncarnation aEntry)
 {
-  finder_.OnLinked(aAddress, aLink);
+  const auto earlier = finder_.OnLinked(aAddress, aLink, aEntry);
+  if (earlier.has_value()) {
+    links_.erase(*earlier);
+  }
   links_[aLink].entry_ = aEntry;
+  return earlier;
 }
 
 std::optional<gpIncarnation>
--- a/Source/Lease/gpEntryLinks.h
+++ b/Source/Lease/gpEntryLinks.h
@@ -33,7 +33,11 @@
   }
 
   gpEntryFinder& GetFinder() { return finder_; }
-  void Open(gpLinkId aLink, const gpAddress& aAddress, gpIncarnation aEntry);
+  /// Returns the earlier link with the same entry, if there was one under
+  /// another address. It's removed: an entry uses the link that opened last.
+  std::optional<gpLinkId> Open(gpLinkId aLink,
+                               const gpAddress& aAddress,
+                               gpIncarnation aEntry);
   /// Removes a closed link and returns its entry; not set if the link is
   /// unknown.
   std::optional<gpIncarnation> Close(gpLinkId aLink, gpTime aNow);
--- a/Source/Lease/gpEntryPeers.cxx
+++ b/Source/Lease/gpEntryPeers.cxx
@@ -6,7 +6,7 @@
 gpEntryPeers::OnLinked(const gpLinkOpened& aEvent)
 {
   if (aEvent.dialed_.has_value()) {
-    finder_.OnLinked(*aEvent.dialed_, aEvent.link_);
+    finder_.OnLinked(*aEvent.dialed_, aEvent.link_, aEvent.peer_.incarnation_);
     return;
   }
   accepted_.insert(aEvent.link_);
--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -114,7 +114,16 @@
     return;
   }
   const gpIncarnation entry = aEvent.peer_.incarnation_;
-  links_.Open(aEvent.link_, *aEvent.dialed_, entry);
+  const auto earlier = links_.Open(aEvent.link_, *aEvent.dialed_, entry);
+  if (earlier.has_value()) {
+    // Orders that are still unread on the earlier link must not be carried out
+    // after gpRunsHeld, which doesn't list them.
+    out_.Add(gpCloseLink{ *earlier });
+    stopper_.StopRunsOf(entry, now_, out_);
+    WriteTarget(gpEventKind::LinkDown,
+                "replaced by a link with the same entry at " +
+                  aEvent.dialed_->value_);
+  }
   out_.Send(aEvent.link_, gpRunsHeld{ runs_.ListRunsOf(entry) });
   std::vector<gpTargetCrash> crashes = toldCrashes_.List();
   if (!crashes.empty()) {
--- a/Tests/Lease/testEntryFinder.cxx
+++ b/Tests/Lease/testEntryFinder.cxx
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -100,6 +101,8 @@
   gpEntryFinder finder_{ { {}, "guard-1", kLinks } };
   gpTime now_{ gpMillis(1000) };
   std::set<gpAddress> up_;
+  /// Second addresses of entries in up_, and the first ones.
+  std::map<gpAddress, gpAddress> sameEntry_;
   std::set<gpAddress> watched_;
   std::size_t dials_ = 0;
   std::size_t mostWatched_ = 0;
@@ -134,7 +137,7 @@
       }
       ++dials_;
       if (up_.contains(entry)) {
-        finder_.OnLinked(entry, gpLinkId(++lastLink_));
+        finder_.OnLinked(entry, gpLinkId(++lastLink_), IncarnationAt(entry));
         finder_.Learn(entries_);
       } else {
         finder_.OnDialFailed(entry, now_);
@@ -142,12 +145,41 @@
     }
   }
 
+  /// The incarnation of the entry that listens at the address.
+  gpIncarnation IncarnationAt(const gpAddress& aAddress) const
+  {
+    const auto same = sameEntry_.find(aAddress);
+    const gpAddress& entry = same == sameEntry_.end() ? aAddress : same->second;
+    return gpIncarnation(std::hash<std::string>()(entry.value_));
+  }
+
   std::vector<gpKnownEntry> entries_;
   std::uint64_t lastLink_ = 0;
 };
 
 } // namespace
 
+// Guards against a guard whose links with an entry replace each other without
+// end, as a record in the store names the entry by a second address.
+BOOST_AUTO_TEST_CASE(AnEntryWithTwoAddressesIsLinkedOnce)
+{
+  constexpr std::size_t kMostDials = 3;
+  World world(1);
+  const gpAddress first = MakeEntry(0).address_;
+  const gpAddress second("10.0.0.200:7000");
+  world.Pass(gpMillis(1000));
+  world.up_.insert(second);
+  world.sameEntry_.emplace(second, first);
+  world.finder_.Learn({ { second, {}, 0 } });
+  world.Pass(gpMillis(20000));
+  BOOST_TEST(world.Linked().size() == 1U);
+  BOOST_TEST(world.dials_ <= kMostDials);
+  // The other address is used when this one is lost.
+  world.Fail(*world.Linked().begin());
+  world.Pass(gpMillis(1000));
+  BOOST_TEST(world.Linked().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(LinksOfALargeFleetAreSpreadEvenly)
 {
   const auto choices = CountChoices(MakeFleet(55), 240);
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -767,6 +767,26 @@
   BOOST_TEST(guard.leaseEnd_ < kEarlierClock);
 }
 
+// Guards against a second run of a task at one time: a guard that knows an
+// entry under two addresses told it on the second link which runs it holds, and
+// then carried out an order that the entry had sent on the first one.
+BOOST_AUTO_TEST_CASE(OrdersOfAnEarlierLinkOfAnEntryAreNotCarriedOut)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.StartRun();
+  guard.running_ = { kRun };
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.Link(gpLinkId(2), gpIncarnation(7), "entry-by-another-name:1");
+  const int starts = guard.starts_;
+  guard.Order(kLink, { "next.0.0.1", 2 });
+  BOOST_TEST(guard.starts_ == starts);
+  // The entry has closed its end of the first link, and counts its runs as
+  // ended after kLinkLossBound.
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  BOOST_TEST(guard.stops_ > 0);
+}
+
 // Guards against a crash that is reported without its runs, or without the one
 // to blame: answers of the next incarnation were taken for the known one's.
 BOOST_AUTO_TEST_CASE(AnswersOfTheNextIncarnationDoNotHideTheLostRuns)
