Tests: Histories with records of other writers, and floods of claims

Guards learn of second addresses of entries again and again, read records of targets that they don't have, or with another capacity, when they start, and get up to eight foreign heartbeats at once (more claims than are kept).

The other histories draw as before.

--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -104,6 +104,9 @@
   if (options_.faultPause_ > gpMillis(0)) {
     At(now_ + gpMillis(300), [this] { Fault(); });
   }
+  if (options_.foreignRecords_) {
+    At(now_ + gpMillis(300), [this] { NameSecondAddress(); });
+  }
 }
 
 std::vector<std::string>
@@ -205,6 +208,34 @@
   return found;
 }
 
+void
+gpLeaseHistory::NameSecondAddress()
+{
+  const std::size_t guard = Draw(guards_.size());
+  const std::string entry = std::to_string(Draw(entries_.size()));
+  AtProcess(guards_[guard], now_, [this, guard, entry] {
+    gpEntriesFound found = ListEntries();
+    found.entries_.emplace_back("second-" + entry);
+    GiveGuard(guard, std::move(found));
+  });
+  At(now_ + gpMillis(100 + Draw(400)), [this] { NameSecondAddress(); });
+}
+
+std::optional<gpTargetRecord>
+gpLeaseHistory::ReadRecord(std::size_t aGuard)
+{
+  if (!options_.foreignRecords_ || Chance(500)) {
+    return records_[aGuard];
+  }
+  gpTargetRecord foreign;
+  foreign.target_ = heartbeats_[Draw(guards_.size())];
+  foreign.target_.service_ = gpServiceName(kService);
+  foreign.target_.capacity_ = { 10 * kTargetMilliCores, 1024, 0 };
+  foreign.target_.sequence_ += Chance(500) ? 100 : 0;
+  foreign.capacityEnforced_ = Chance(500);
+  return foreign;
+}
+
 void
 gpLeaseHistory::StartEntry(std::size_t aIndex)
 {
@@ -239,9 +270,10 @@
   process.guard_ = std::make_unique<gpLeaseGuardReducer>(options);
   process.watched_.clear();
   GiveGuard(aIndex, ListEntries());
-  if (records_[aIndex].has_value()) {
-    AtProcess(process, now_ + kStoreLatency, [this, aIndex] {
-      GiveGuard(aIndex, gpTargetRecordRead{ *records_[aIndex] });
+  const auto record = ReadRecord(aIndex);
+  if (record.has_value()) {
+    AtProcess(process, now_ + kStoreLatency, [this, aIndex, record] {
+      GiveGuard(aIndex, gpTargetRecordRead{ *record });
     });
   }
 }
@@ -265,8 +297,12 @@
 {
   At(now_ + kHeartbeat, [this, aGuard] { Heartbeat(aGuard); });
   if (options_.foreignHeartbeats_ && Chance(300)) {
-    At(now_ + gpMillis(Draw(400)),
-       [this, aGuard] { ForeignHeartbeat(aGuard); });
+    constexpr int kMostAtOnce = 8;
+    const bool areMany = options_.foreignRecords_ && Chance(300);
+    const gpTime when = now_ + gpMillis(Draw(400));
+    for (int count = 0; count < (areMany ? kMostAtOnce : 1); ++count) {
+      At(when, [this, aGuard] { ForeignHeartbeat(aGuard); });
+    }
   }
   if (targets_[aGuard] == nullptr) {
     return;
@@ -316,41 +352,62 @@
 }
 
 void
-gpLeaseHistory::Dial(Process& aProcess, std::size_t aEntry)
+gpLeaseHistory::Dial(Process& aProcess, const gpAddress& aAddress)
 {
-  Process& entry = entries_[aEntry];
+  const std::size_t index = EntryAt(aAddress);
+  Process& entry = entries_[index];
   const bool isReady = aProcess.alive_ && entry.alive_ &&
                        now_ >= aProcess.frozenUntil_ &&
                        now_ >= entry.frozenUntil_;
   for (const auto& [id, link] : links_) {
-    const bool isOurs = link.ends_[0] == &aProcess && link.ends_[1] == &entry &&
+    const bool isOurs = link.ends_[0] == &aProcess &&
+                        link.dialed_ == aAddress &&
                         link.generations_[0] == aProcess.generation_;
     if (isOurs && link.open_[0]) {
       return;
     }
   }
-  if (!aProcess.alive_ || !aProcess.watched_.contains(aEntry)) {
+  if (!aProcess.alive_ || !aProcess.watched_.contains(aAddress)) {
     return;
   }
   if (!isReady) {
     At(now_ + gpMillis(100),
-       [this, &aProcess, aEntry] { Dial(aProcess, aEntry); });
-    AtProcess(aProcess, now_, [this, &aProcess, aEntry] {
-      Give(aProcess,
-           gpDialFailed{ AddressOf(aEntry), gpErrorCode::ConnectRefused });
+       [this, &aProcess, aAddress] { Dial(aProcess, aAddress); });
+    AtProcess(aProcess, now_, [this, &aProcess, aAddress] {
+      Give(aProcess, gpDialFailed{ aAddress, gpErrorCode::ConnectRefused });
     });
     return;
   }
+  if (options_.foreignRecords_) {
+    CloseEarlierLink(aProcess, entry);
+  }
   const std::uint64_t id = ++lastLink_;
   Link link;
   link.ends_[0] = &aProcess;
   link.ends_[1] = &entry;
+  link.dialed_ = aAddress;
   link.generations_[0] = aProcess.generation_;
   link.generations_[1] = entry.generation_;
   links_.emplace(id, link);
-  GiveEntry(aEntry, gpLinkOpened{ gpLinkId(id), aProcess.peer_, std::nullopt });
-  Give(aProcess,
-       gpLinkOpened{ gpLinkId(id), entry.peer_, entry.peer_.address_ });
+  GiveEntry(index, gpLinkOpened{ gpLinkId(id), aProcess.peer_, std::nullopt });
+  Give(aProcess, gpLinkOpened{ gpLinkId(id), entry.peer_, aAddress });
+}
+
+void
+gpLeaseHistory::CloseEarlierLink(const Process& aProcess, const Process& aEntry)
+{
+  for (auto& [id, link] : links_) {
+    const bool isEarlier = link.ends_[0] == &aProcess &&
+                           link.ends_[1] == &aEntry &&
+                           link.generations_[0] == aProcess.generation_ &&
+                           link.generations_[1] == aEntry.generation_;
+    if (isEarlier && std::exchange(link.open_[1], false)) {
+      GiveEntry(aEntry.index_,
+                gpLinkLost{ gpLinkId(id), gpErrorCode::LinkClosed });
+      At(now_ + DrawLatency(),
+         [this, id = id] { LoseEnd(id, 0, gpErrorCode::LinkClosed); });
+    }
+  }
 }
 
 template<typename Input>
@@ -400,13 +457,13 @@
       At(now_ + DrawLatency(),
          [this, id, end] { LoseEnd(id, 1 - end, gpErrorCode::LinkClosed); });
       At(now_ + gpMillis(100),
-         [this, dialer = link.ends_[0], entry = link.ends_[1]->index_] {
-           Dial(*dialer, entry);
+         [this, dialer = link.ends_[0], address = link.dialed_] {
+           Dial(*dialer, address);
          });
     } else if (const auto* watch = std::get_if<gpWatchAddress>(&effect)) {
-      CarryWatch(aProcess, EntryAt(watch->address_));
+      CarryWatch(aProcess, watch->address_);
     } else if (const auto* unwatch = std::get_if<gpUnwatchAddress>(&effect)) {
-      CarryUnwatch(aProcess, EntryAt(unwatch->address_));
+      CarryUnwatch(aProcess, unwatch->address_);
     } else if (const auto* wake = std::get_if<gpWakeAt>(&effect)) {
       aProcess.wakeAt_ = wake->when_;
       AtProcess(aProcess, wake->when_, [this, &aProcess, when = wake->when_] {
@@ -432,23 +489,23 @@
 }
 
 void
-gpLeaseHistory::CarryWatch(Process& aProcess, std::size_t aEntry)
+gpLeaseHistory::CarryWatch(Process& aProcess, const gpAddress& aAddress)
 {
   if (aProcess.entry_ != nullptr && !options_.peerLinks_) {
     return;
   }
-  aProcess.watched_.insert(aEntry);
+  aProcess.watched_.insert(aAddress);
   At(now_ + gpMillis(1 + Draw(100)),
-     [this, &aProcess, aEntry] { Dial(aProcess, aEntry); });
+     [this, &aProcess, aAddress] { Dial(aProcess, aAddress); });
 }
 
 void
-gpLeaseHistory::CarryUnwatch(Process& aProcess, std::size_t aEntry)
+gpLeaseHistory::CarryUnwatch(Process& aProcess, const gpAddress& aAddress)
 {
-  aProcess.watched_.erase(aEntry);
+  aProcess.watched_.erase(aAddress);
   for (auto& [id, link] : links_) {
     const bool isOurs = link.ends_[0] == &aProcess &&
-                        link.ends_[1] == &entries_[aEntry] &&
+                        link.dialed_ == aAddress &&
                         link.generations_[0] == aProcess.generation_;
     if (isOurs && std::exchange(link.open_[0], false)) {
       ++moves_;
@@ -882,7 +939,7 @@
     Give(loser, gpLinkLost{ gpLinkId(aLink), aReason });
     if (aEnd == 0) {
       At(now_ + gpMillis(100),
-         [this, &loser, entry = lost.ends_[1]->index_] { Dial(loser, entry); });
+         [this, &loser, address = lost.dialed_] { Dial(loser, address); });
     }
   });
 }
--- a/Tests/Lease/gpLeaseHistory.h
+++ b/Tests/Lease/gpLeaseHistory.h
@@ -48,6 +48,10 @@
   /// Whether other writers send heartbeats of targets, delayed ones among them;
   /// restarted targets have new IDs then, or keep theirs.
   bool foreignHeartbeats_ = false;
+  /// Whether the store has records of other writers, which are well-formed:
+  /// second addresses of entries, and targets that a guard doesn't have. With
+  /// foreignHeartbeats_, many foreign heartbeats come at once at times.
+  bool foreignRecords_ = false;
   /// Whether callers submit a job again that failed for another reason than
   /// its tasks.
   bool resubmitsFailed_ = false;
@@ -121,13 +125,14 @@
     bool alive_ = false;
     gpTime frozenUntil_;
     gpTime wakeAt_;
-    /// Entries that the process dials.
-    std::set<std::size_t> watched_;
+    /// Addresses that the process dials.
+    std::set<gpAddress> watched_;
   };
   struct Link
   {
     /// The processes at both ends: [0] has dialed the link, [1] is an entry.
     Process* ends_[2] = { nullptr, nullptr };
+    gpAddress dialed_;
     std::uint64_t generations_[2] = { 0, 0 };
     /// Whether each end considers the link open.
     bool open_[2] = { true, true };
@@ -166,11 +171,19 @@
   static std::size_t EntryAt(const gpAddress& aAddress);
   /// The addresses of all entries.
   gpEntriesFound ListEntries() const;
+  /// Names a second address of an entry to a guard, again and again.
+  void NameSecondAddress();
+  /// The record of its target that a guard reads when it starts, if there is
+  /// one. It may be of another writer.
+  std::optional<gpTargetRecord> ReadRecord(std::size_t aGuard);
   void StartEntry(std::size_t aIndex);
   void StartGuard(std::size_t aIndex);
   void StartTarget(std::size_t aGuard);
-  /// Opens a link from the process to the entry, unless there is one.
-  void Dial(Process& aProcess, std::size_t aEntry);
+  /// Opens a link from the process to the entry at the address, unless there
+  /// is one.
+  void Dial(Process& aProcess, const gpAddress& aAddress);
+  /// The entry closes its end of an earlier link with the process.
+  void CloseEarlierLink(const Process& aProcess, const Process& aEntry);
   /// The end of the link at which the process is.
   static int EndOf(const Link& aLink, const Process& aProcess)
   {
@@ -193,8 +206,8 @@
   template<typename Input>
   void Give(Process& aProcess, Input aInput);
   void CarryOut(Process& aProcess, std::vector<gpLeaseEffect> aEffects);
-  void CarryWatch(Process& aProcess, std::size_t aEntry);
-  void CarryUnwatch(Process& aProcess, std::size_t aEntry);
+  void CarryWatch(Process& aProcess, const gpAddress& aAddress);
+  void CarryUnwatch(Process& aProcess, const gpAddress& aAddress);
   void CarrySend(Process& aProcess, gpSend& aSend);
   void CarryStart(std::size_t aGuard, const gpStartRun& aStart);
   void CarryStop(std::size_t aGuard, const gpStopRun& aStop);
--- a/Tests/Lease/testLeaseHistories.cxx
+++ b/Tests/Lease/testLeaseHistories.cxx
@@ -161,6 +161,17 @@
   RunHistories(options, 1000);
 }
 
+// Guards against a second run of a task at one time, after a record of another
+// writer was believed: an entry's second address, or a target of another guard.
+BOOST_AUTO_TEST_CASE(HistoriesWithForeignRecordsKeepThePromises)
+{
+  gpLeaseHistoryOptions options;
+  options.length_ = gpMillis(2500);
+  options.foreignHeartbeats_ = true;
+  options.foreignRecords_ = true;
+  RunHistories(options, 1000);
+}
+
 // Guards against a job that starts again after it was cancelled, at any entry,
 // when its request arrives once more, at any entry.
 BOOST_AUTO_TEST_CASE(HistoriesWithRepeatedRequestsKeepCancelledJobsEnded)
