--- a/Tests/Soak/gpSoak.cxx
+++ b/Tests/Soak/gpSoak.cxx
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "gpEventLoop.h"
+#include "gpSoakHeartbeats.h"
 #include "gpTestFailure.h"
 
 namespace {
@@ -24,6 +25,11 @@
 /// The answer to one start is lost, and to one more for each such interval in
 /// the fault's length.
 constexpr gpMillis kLostStartInterval{ 500 };
+/// Likewise for stops, whose guard repeats each several times a second.
+constexpr gpMillis kLostStopInterval{ 50 };
+/// The request of one job is repeated, and of one more for each such interval
+/// in the fault's length.
+constexpr gpMillis kRepeatInterval{ 200 };
 /// A proxy delays by the fault's length divided by this, up to about 300 ms.
 constexpr int kDelayDivisor = 8;
 
@@ -92,6 +98,11 @@
     { Kind::TrimmedStore, { &gpSoak::InjectFault, &gpSoak::NoAction } },
     { Kind::Configuration,
       { &gpSoak::ChangeConfiguration, &gpSoak::NoAction } },
+    { Kind::ForeignHeartbeats,
+      { &gpSoak::SendForeignHeartbeats, &gpSoak::SendForeignHeartbeats } },
+    { Kind::LoseStops, { &gpSoak::LoseStops, &gpSoak::NoAction } },
+    { Kind::RepeatJobs, { &gpSoak::RepeatJobs, &gpSoak::RepeatJobs } },
+    { Kind::KillAll, { &gpSoak::KillAll, &gpSoak::StartAll } },
   };
   return table.at(aKind);
 }
@@ -377,6 +388,76 @@
   cluster_.Configure(++version_);
 }
 
+void
+gpSoak::SendForeignHeartbeats(const gpSoakFault& aFault)
+{
+  const std::size_t guard = GuardOf(aFault);
+  const std::size_t other = (guard + 1) % plan_.guards_;
+  if (!cluster_.Guard(guard).IsRunning()) {
+    return;
+  }
+  std::vector<gpTestCall> calls;
+  for (const std::size_t source : { guard, other }) {
+    if (!cluster_.Worker(source).IsRunning()) {
+      continue;
+    }
+    const gpSoakHeartbeats heartbeats(gpBodyOf(cluster_.Http().Get(
+      cluster_.Worker(source).Address("control"), "/control")));
+    for (gpHttpRequest& request : heartbeats.MakeForeign()) {
+      calls.push_back(cluster_.Http().Call(
+        cluster_.Guard(guard).Address("target"), std::move(request)));
+    }
+  }
+  // The guard may be frozen, so their answers aren't waited for.
+  std::move(calls.begin(), calls.end(), std::back_inserter(heartbeats_));
+}
+
+void
+gpSoak::LoseStops(const gpSoakFault& aFault)
+{
+  const std::size_t worker = GuardOf(aFault);
+  if (cluster_.Worker(worker).IsRunning()) {
+    const auto stops = 1 + aFault.length_ / kLostStopInterval;
+    cluster_.Control(cluster_.Worker(worker),
+                     R"({"lose_stops":)" + std::to_string(stops) + "}");
+  }
+}
+
+void
+gpSoak::RepeatJobs(const gpSoakFault& aFault)
+{
+  callers_.RepeatCompleted(
+    1 + static_cast<std::size_t>(aFault.length_ / kRepeatInterval));
+}
+
+void
+gpSoak::KillAll(const gpSoakFault& aFault)
+{
+  gpSoakFault one = aFault;
+  for (one.processIndex_ = 0; one.processIndex_ < plan_.entries_;
+       ++one.processIndex_) {
+    KillEntry(one);
+  }
+  for (one.processIndex_ = 0; one.processIndex_ < plan_.guards_;
+       ++one.processIndex_) {
+    KillGuard(one);
+  }
+}
+
+void
+gpSoak::StartAll(const gpSoakFault& aFault)
+{
+  gpSoakFault one = aFault;
+  for (one.processIndex_ = 0; one.processIndex_ < plan_.entries_;
+       ++one.processIndex_) {
+    StartEntry(one);
+  }
+  for (one.processIndex_ = 0; one.processIndex_ < plan_.guards_;
+       ++one.processIndex_) {
+    StartGuard(one);
+  }
+}
+
 void
 gpSoak::NoAction(const gpSoakFault& /*aFault*/)
 {
--- a/Tests/Soak/gpSoak.h
+++ b/Tests/Soak/gpSoak.h
@@ -63,6 +63,11 @@
   /// leaves, or was killed; a restarted worker announces no drain.
   void CloseDrains(std::size_t aWorker);
   void ChangeConfiguration(const gpSoakFault& aFault);
+  void SendForeignHeartbeats(const gpSoakFault& aFault);
+  void LoseStops(const gpSoakFault& aFault);
+  void RepeatJobs(const gpSoakFault& aFault);
+  void KillAll(const gpSoakFault& aFault);
+  void StartAll(const gpSoakFault& aFault);
   void NoAction(const gpSoakFault& aFault);
 
   std::size_t EntryOf(const gpSoakFault& aFault) const;
@@ -92,6 +97,8 @@
   std::vector<ActiveFaults> workers_;
   /// When each worker was killed.
   std::vector<std::vector<gpTime>> workerKills_;
+  /// The foreign heartbeats that were sent, whose answers may be still to come.
+  std::vector<gpTestCall> heartbeats_;
   std::uint64_t version_ = 1;
   std::vector<std::string> violations_;
 };
--- a/Tests/Soak/gpSoakCallers.cxx
+++ b/Tests/Soak/gpSoakCallers.cxx
@@ -16,6 +16,10 @@
 /// by then.
 constexpr std::uint64_t kDisconnectOneIn = 15;
 constexpr std::uint64_t kMaxTimeToDisconnectMs = 800;
+/// Longest time until a request that arrives once more does so, and the number
+/// of jobs whose requests may.
+constexpr std::uint64_t kMaxRepeatMs = 3000;
+constexpr std::size_t kMostCompleted = 50;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kTooMany = 429;
@@ -124,6 +128,17 @@
   retries_.erase(due, retries_.end());
 }
 
+void
+gpSoakCallers::RepeatCompleted(std::size_t aCount)
+{
+  for (; aCount > 0 && !completed_.empty(); --aCount) {
+    const auto delay = static_cast<std::int64_t>(generator_() % kMaxRepeatMs);
+    retries_.push_back(
+      { completed_.back(), gpEventLoop::Now() + gpMillis(delay) });
+    completed_.pop_back();
+  }
+}
+
 void
 gpSoakCallers::SubmitTo(std::size_t aEntry)
 {
@@ -173,6 +188,12 @@
   aCall.submission_.endedAt_ = now;
   aCall.submission_.outcome_ = aOutcome;
   submissions_.push_back(aCall.submission_);
+  if (aOutcome == gpSoakOutcome::Completed) {
+    completed_.push_back(aCall.job_);
+    if (completed_.size() > kMostCompleted) {
+      completed_.pop_front();
+    }
+  }
   if (aOutcome == gpSoakOutcome::ConnectionLost ||
       aOutcome == gpSoakOutcome::Unknown) {
     retries_.push_back({ aCall.job_, now + kShortestResend });
--- a/Tests/Soak/gpSoakCallers.h
+++ b/Tests/Soak/gpSoakCallers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <random>
@@ -27,6 +28,9 @@
   void SubmitDue(const std::function<bool(std::size_t)>& aAcceptsJobs);
   /// Submits a new job to that entry.
   void SubmitTo(std::size_t aEntry);
+  /// Lets the requests of up to aCount completed jobs arrive once more, soon,
+  /// at any entry.
+  void RepeatCompleted(std::size_t aCount);
   /// Records answers that have arrived, and disconnects callers that are due
   /// to leave.
   void Poll();
@@ -73,5 +77,7 @@
   std::uint64_t jobs_ = 0;
   std::vector<Call> calls_;
   std::vector<Retry> retries_;
+  /// The jobs that were completed last.
+  std::deque<Job> completed_;
   std::vector<gpSoakSubmission> submissions_;
 };
--- a/Tests/Soak/gpSoakPlan.cxx
+++ b/Tests/Soak/gpSoakPlan.cxx
@@ -8,11 +8,12 @@
 
 constexpr std::array<const char*, std::size_t(gpSoakFaultKind::Count)>
   kNames = {
-    "kill entry",     "kill guard",    "kill worker",   "term entry",
-    "freeze entry",   "freeze guard",  "delay links",   "reset links",
-    "silence links",  "one-way links", "delay worker",  "reset worker",
-    "silence worker", "lose starts",   "drain worker",  "refusing store",
-    "silent store",   "reset store",   "trimmed store", "configuration",
+    "kill entry",         "kill guard",    "kill worker",   "term entry",
+    "freeze entry",       "freeze guard",  "delay links",   "reset links",
+    "silence links",      "one-way links", "delay worker",  "reset worker",
+    "silence worker",     "lose starts",   "drain worker",  "refusing store",
+    "silent store",       "reset store",   "trimmed store", "configuration",
+    "foreign heartbeats", "lose stops",    "repeat jobs",   "kill all",
   };
 
 constexpr gpMillis kLength{ 6000 };
@@ -50,7 +51,7 @@
 }
 
 gpSoakPlan
-gpMakeSoakPlan(std::uint64_t aSeed, std::size_t aScale)
+gpMakeSoakPlan(std::uint64_t aSeed, std::size_t aScale, std::size_t aKinds)
 {
   RandomGenerator generator(aSeed);
   gpSoakPlan plan;
@@ -61,10 +62,9 @@
   plan.jobPause_ = kJobPause / static_cast<std::int64_t>(aScale);
   const std::size_t faults = aScale * (4 + generator.Draw(14));
   // Some seeds use only a few kinds of faults, each of them many times.
-  const auto kinds = static_cast<std::uint64_t>(gpSoakFaultKind::Count);
   std::vector<gpSoakFaultKind> chosen;
-  for (std::uint64_t left = 2 + generator.Draw(kinds); left > 0; --left) {
-    chosen.push_back(static_cast<gpSoakFaultKind>(generator.Draw(kinds)));
+  for (std::uint64_t left = 2 + generator.Draw(aKinds); left > 0; --left) {
+    chosen.push_back(static_cast<gpSoakFaultKind>(generator.Draw(aKinds)));
   }
   for (std::size_t index = 0; index < faults; ++index) {
     gpSoakFault fault;
--- a/Tests/Soak/gpSoakPlan.h
+++ b/Tests/Soak/gpSoakPlan.h
@@ -11,29 +11,38 @@
 /// after their length.
 enum class gpSoakFaultKind
 {
-  KillEntry,     ///< SIGKILL, then a restart
-  KillGuard,     ///< likewise
-  KillWorker,    ///< likewise
-  TermEntry,     ///< SIGTERM, then a restart after the exit
-  FreezeEntry,   ///< SIGSTOP, then SIGCONT
-  FreezeGuard,   ///< likewise
-  DelayLinks,    ///< data on an entry's links is delayed
-  ResetLinks,    ///< an entry's links are reset, new ones refused
-  SilenceLinks,  ///< data on an entry's links is held back
-  OneWayLinks,   ///< likewise, only data to the entry
-  DelayWorker,   ///< calls to a worker are delayed
-  ResetWorker,   ///< a worker's connections are reset, new ones refused
-  SilenceWorker, ///< calls to a worker, or their answers, are held back
-  LoseStarts,    ///< a worker runs tasks without answering the start
-  DrainWorker,   ///< a worker announces for a time that it leaves
-  RefusingStore, ///< the store answers 503
-  SilentStore,   ///< the store doesn't answer
-  ResetStore,    ///< the store's connections are reset, new ones refused
-  TrimmedStore,  ///< the store drops its history
-  Configuration, ///< a new configuration version is applied
+  KillEntry,         ///< SIGKILL, then a restart
+  KillGuard,         ///< likewise
+  KillWorker,        ///< likewise
+  TermEntry,         ///< SIGTERM, then a restart after the exit
+  FreezeEntry,       ///< SIGSTOP, then SIGCONT
+  FreezeGuard,       ///< likewise
+  DelayLinks,        ///< data on an entry's links is delayed
+  ResetLinks,        ///< an entry's links are reset, new ones refused
+  SilenceLinks,      ///< data on an entry's links is held back
+  OneWayLinks,       ///< likewise, only data to the entry
+  DelayWorker,       ///< calls to a worker are delayed
+  ResetWorker,       ///< a worker's connections are reset, new ones refused
+  SilenceWorker,     ///< calls to a worker, or their answers, are held back
+  LoseStarts,        ///< a worker runs tasks without answering the start
+  DrainWorker,       ///< a worker announces for a time that it leaves
+  RefusingStore,     ///< the store answers 503
+  SilentStore,       ///< the store doesn't answer
+  ResetStore,        ///< the store's connections are reset, new ones refused
+  TrimmedStore,      ///< the store drops its history
+  Configuration,     ///< a new configuration version is applied
+  ForeignHeartbeats, ///< a guard gets heartbeats that its target didn't send
+  LoseStops,         ///< a worker ignores some stops
+  RepeatJobs,        ///< requests of completed jobs arrive once more
+  KillAll,           ///< SIGKILL of all entries and guards, then restarts
   Count
 };
 
+/// The kinds from which the regression seeds were drawn.
+constexpr auto kFirstSoakKinds =
+  static_cast<std::size_t>(gpSoakFaultKind::ForeignHeartbeats);
+constexpr auto kAllSoakKinds = static_cast<std::size_t>(gpSoakFaultKind::Count);
+
 /** \class gpSoakFault
  * \brief One fault of a plan.
  */
@@ -63,10 +72,10 @@
   std::vector<gpSoakFault> faults_;
 };
 
-/// Makes the plan of a seed. aScale multiplies the number of processes
-/// and faults, and the load.
+/// Makes the plan of a seed, with faults of the first aKinds kinds. aScale
+/// multiplies the number of processes and faults, and the load.
 gpSoakPlan
-gpMakeSoakPlan(std::uint64_t aSeed, std::size_t aScale);
+gpMakeSoakPlan(std::uint64_t aSeed, std::size_t aScale, std::size_t aKinds);
 
 /// The name of a kind, for messages.
 std::string
--- a/Tests/Soak/testSoak.cxx
+++ b/Tests/Soak/testSoak.cxx
@@ -24,9 +24,9 @@
 }
 
 void
-RunSeed(std::uint64_t aSeed, std::size_t aScale)
+RunSeed(std::uint64_t aSeed, std::size_t aScale, std::size_t aKinds)
 {
-  const gpSoakPlan plan = gpMakeSoakPlan(aSeed, aScale);
+  const gpSoakPlan plan = gpMakeSoakPlan(aSeed, aScale, aKinds);
   gpSoak soak(plan);
   const std::vector<std::string> violations = soak.Run();
   BOOST_TEST_MESSAGE("seed " << aSeed << ": " << soak.Summary());
@@ -46,11 +46,11 @@
 {
   // A refused connection to a running worker was taken as a sign that the
   // worker had ended, which led to two runs of a task at the same time.
-  RunSeed(8, 1);
-  RunSeed(14, 1);
+  RunSeed(8, 1, kFirstSoakKinds);
+  RunSeed(14, 1, kFirstSoakKinds);
   // At the end of a graceful shutdown, the connections of remaining jobs were
   // closed without an answer.
-  RunSeed(128, 1);
+  RunSeed(128, 1, kFirstSoakKinds);
 }
 
 BOOST_AUTO_TEST_CASE(SeedsKeepTheGuarantees)
@@ -59,6 +59,6 @@
   const std::uint64_t count = gpNumberFromEnvironment("GP_SOAK_COUNT", 3);
   const std::uint64_t scale = gpNumberFromEnvironment("GP_SOAK_SCALE", 1);
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
-    RunSeed(seed, scale);
+    RunSeed(seed, scale, kAllSoakKinds);
   }
 }
--- a/Tests/StandIns/gpStandInWorker.cxx
+++ b/Tests/StandIns/gpStandInWorker.cxx
@@ -15,8 +15,8 @@
 
 namespace {
 
-/// Applies a control command: {"guard": "IP:PORT"}, {"draining": true} or
-/// {"lose_starts": 2}.
+/// Applies a control command: {"guard": "IP:PORT"}, {"draining": true},
+/// {"lose_starts": 2} or {"lose_stops": 2}.
 absl::Status
 Apply(gpWorkerStandIn& aWorker, const std::string& aBody)
 {
@@ -32,8 +32,13 @@
           aWorker.SetDraining(aValue.as_bool());
           return true;
         } },
-      { "lose_starts", [&](const boost::json::value& aValue) {
-         aWorker.LoseStarts(aValue.to_number<std::uint64_t>());
+      { "lose_starts",
+        [&](const boost::json::value& aValue) {
+          aWorker.LoseStarts(aValue.to_number<std::uint64_t>());
+          return true;
+        } },
+      { "lose_stops", [&](const boost::json::value& aValue) {
+         aWorker.LoseStops(aValue.to_number<std::uint64_t>());
          return true;
        } } });
 }
--- a/Tests/StandIns/gpWorkerStandIn.cxx
+++ b/Tests/StandIns/gpWorkerStandIn.cxx
@@ -118,7 +118,7 @@
   gpHttpRequest request;
   request.method_ = "PUT";
   request.target_ = "/v1/instances/" + target_.GetId();
-  request.body_ = boost::json::serialize(boost::json::object{
+  heartbeat_ = {
     { "service", "ponds" },
     { "address", address_.value_ },
     { "zone", "erie-floor" },
@@ -130,7 +130,9 @@
     { "labels", { "a", "r1-1" } },
     { "born", target_.GetStartTime() },
     { "clockMs", target_.GetClock(gpEventLoop::Now()) },
-    { "sequence", ++sequence_ } });
+    { "sequence", ++sequence_ }
+  };
+  request.body_ = boost::json::serialize(heartbeat_);
   client_.Call(
     guard_, std::move(request), kHeartbeatPeriod, [](const gpHttpReply&) {});
   timers_.Subscribe(gpEventLoop::Now() + kHeartbeatPeriod,
@@ -155,6 +157,10 @@
     }
     server_.Respond(aRequest, std::move(response));
   } else if (aHttp.target_ == "/v1/run-stop") {
+    if (loseStops_ > 0) {
+      --loseStops_;
+      return;
+    }
     server_.Respond(aRequest, OnStop(body));
   } else {
     OnHold(aRequest, body);
@@ -276,5 +282,8 @@
   for (const auto& [task, count] : starts_) {
     starts[task] = count;
   }
-  return { { "starts", starts }, { "running", target_.GetRunning().size() } };
+  return { { "starts", starts },
+           { "running", target_.GetRunning().size() },
+           { "id", target_.GetId() },
+           { "heartbeat", heartbeat_ } };
 }
--- a/Tests/StandIns/gpWorkerStandIn.h
+++ b/Tests/StandIns/gpWorkerStandIn.h
@@ -36,7 +36,10 @@
   void SetDraining(bool aDraining) { draining_ = aDraining; }
   /// Carries out the next aCount starts without responding to them.
   void LoseStarts(std::uint64_t aCount) { loseStarts_ = aCount; }
-  /// Returns the number of starts of each task and the number of current runs.
+  /// Ignores the next aCount stops.
+  void LoseStops(std::uint64_t aCount) { loseStops_ = aCount; }
+  /// Returns the number of starts of each task, the number of current runs, the
+  /// ID and the last heartbeat.
   boost::json::object Show();
 
 private:
@@ -61,6 +64,8 @@
   gpAddress guard_;
   std::uint64_t sequence_ = 0;
   std::uint64_t loseStarts_ = 0;
+  std::uint64_t loseStops_ = 0;
+  boost::json::object heartbeat_;
   bool draining_ = false;
   bool sendsHeartbeats_ = false;
   gpRunJournal journal_;
