--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -709,6 +709,23 @@
   BOOST_TEST(guard.asks_ <= kMostAsks);
 }
 
+// Guards against a guard that starts with a foreign heartbeat, and then gives
+// its own target no work until the next one, or never.
+BOOST_AUTO_TEST_CASE(AGuardThatStartsWithForeignHeartbeatsFindsItsTarget)
+{
+  GuardWithTarget guard{ GuardWithTarget::WithoutHeartbeat{} };
+  guard.startTime_ = 1;
+  for (const char* id : { "t-7", "t-8", "t-9" }) {
+    guard.Feed(gpHeartbeatReceived{ MakeSuccessor(id, 9, 1) });
+  }
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 0);
+  guard.Feed(gpHeartbeatReceived{ MakeTarget(1) });
+  guard.RunFor(gpMillis(100), gpOrderReply::Accepted);
+  guard.StartRun();
+  BOOST_TEST(guard.starts_ == 1);
+}
+
 // Guards against a target that is asked without end about a claim of a writer
 // that is gone, as no question gets an answer.
 BOOST_AUTO_TEST_CASE(AClaimWithoutAnAnswerIsDropped)
