--- a/Tests/Lease/gpLeaseHistory.cxx
+++ b/Tests/Lease/gpLeaseHistory.cxx
@@ -64,14 +64,14 @@
 
 gpLeaseHistory::gpLeaseHistory(gpLeaseHistoryOptions aOptions)
   : options_(aOptions)
-  , generator_(aOptions.seed_)
+  , random_(aOptions.seed_)
+  , foreignWriter_(random_, aOptions.guards_)
 {
   end_ = now_ + options_.length_;
   entries_.resize(options_.entries_);
   guards_.resize(options_.guards_);
   targets_.resize(options_.guards_);
   sequences_.resize(options_.guards_);
-  heartbeats_.resize(options_.guards_);
   capacities_.resize(options_.guards_, gpChangingCapacity(kTargetMilliCores));
   records_.resize(options_.guards_);
   waitingPolls_.resize(options_.guards_);
@@ -127,18 +127,6 @@
   return broken_;
 }
 
-std::size_t
-gpLeaseHistory::Draw(std::size_t aCount)
-{
-  return std::uniform_int_distribution<std::size_t>(0, aCount - 1)(generator_);
-}
-
-bool
-gpLeaseHistory::Chance(unsigned aPerThousand)
-{
-  return Draw(1000) < aPerThousand;
-}
-
 gpMicros
 gpLeaseHistory::DrawLatency()
 {
@@ -227,13 +215,7 @@
   if (!options_.foreignRecords_ || Chance(500)) {
     return records_[aGuard];
   }
-  gpTargetRecord foreign;
-  foreign.target_ = heartbeats_[Draw(guards_.size())];
-  foreign.target_.service_ = gpServiceName(kService);
-  foreign.target_.capacity_ = { 10 * kTargetMilliCores, 1024, 0 };
-  foreign.target_.sequence_ += Chance(500) ? 100 : 0;
-  foreign.capacityEnforced_ = Chance(500);
-  return foreign;
+  return foreignWriter_.MakeRecord();
 }
 
 void
@@ -313,7 +295,7 @@
   target.sequence_ = ++sequences_[aGuard];
   target.service_ = gpServiceName(kService);
   target.capacity_ = { capacities_[aGuard].Get(), 1024, 0 };
-  heartbeats_[aGuard] = target;
+  foreignWriter_.NoteHeartbeat(aGuard, target);
   AtProcess(guards_[aGuard], now_ + DrawLatency(), [this, aGuard, target] {
     GiveGuard(aGuard, gpHeartbeatReceived{ target });
   });
@@ -322,32 +304,9 @@
 void
 gpLeaseHistory::ForeignHeartbeat(std::size_t aGuard)
 {
-  gpTargetAnnouncement foreign = heartbeats_[aGuard];
-  foreign.service_ = gpServiceName(kService);
-  switch (Draw(6)) {
-    case 0: // of a target that doesn't exist
-      foreign.id_ = "i-foreign";
-      foreign.startTime_ = WallClockMs();
-      break;
-    case 1: // of a later incarnation
-      foreign.startTime_ += 1 + Draw(1000);
-      break;
-    case 2: // of an earlier incarnation
-      foreign.startTime_ -= std::min<std::uint64_t>(foreign.startTime_, 700);
-      foreign.id_ += Chance(500) ? "-0" : "";
-      break;
-    case 3: // of the target of another guard
-      foreign = heartbeats_[Draw(guards_.size())];
-      break;
-    case 4: // of a writer who says that the target has ended
-      GiveGuard(aGuard, gpTargetEnded{ foreign.id_ });
-      return;
-    default: // of the same incarnation, with a sequence number that is ahead
-      foreign.sequence_ += 100;
-      break;
-  }
-  if (!foreign.id_.empty()) {
-    GiveGuard(aGuard, gpHeartbeatReceived{ foreign });
+  const auto call = foreignWriter_.MakeCall(aGuard, WallClockMs());
+  if (call.has_value()) {
+    std::visit([&](const auto& aCall) { GiveGuard(aGuard, aCall); }, *call);
   }
 }
 
--- a/Tests/Lease/gpLeaseHistory.h
+++ b/Tests/Lease/gpLeaseHistory.h
@@ -5,13 +5,14 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "gpChangingCapacity.h"
 #include "gpDeadlyTasks.h"
+#include "gpForeignWriter.h"
+#include "gpHistoryRandom.h"
 #include "gpLeaseEntryReducer.h"
 #include "gpLeaseGuardReducer.h"
 #include "gpSimTarget.h"
@@ -154,8 +155,8 @@
     int tries_ = 1;
   };
 
-  std::size_t Draw(std::size_t aCount);
-  bool Chance(unsigned aPerThousand);
+  std::size_t Draw(std::size_t aCount) { return random_.Draw(aCount); }
+  bool Chance(unsigned aPerThousand) { return random_.Chance(aPerThousand); }
   gpMicros DrawLatency();
   void At(gpTime aWhen, std::function<void()> aEvent);
   /// Calls the event at the process at aWhen, or when its freeze ends; drops it
@@ -253,7 +254,8 @@
   void Break(const std::string& aWhat);
 
   gpLeaseHistoryOptions options_;
-  std::mt19937_64 generator_;
+  gpHistoryRandom random_;
+  gpForeignWriter foreignWriter_;
   gpTime now_{ gpMillis(100000) };
   gpTime end_;
   std::multimap<gpTime, std::function<void()>> events_;
@@ -261,8 +263,6 @@
   std::vector<Process> guards_;
   std::vector<std::unique_ptr<gpSimTarget>> targets_;
   std::vector<std::uint64_t> sequences_;
-  /// The last heartbeat of each target, also of an incarnation that has ended.
-  std::vector<gpTargetAnnouncement> heartbeats_;
   std::uint64_t lastTarget_ = 0;
   std::vector<gpChangingCapacity> capacities_;
   /// The record of its target that each guard has in the store.
--- a/Tests/Soak/gpSoak.cxx
+++ b/Tests/Soak/gpSoak.cxx
@@ -344,32 +344,41 @@
 void
 gpSoak::LoseStarts(const gpSoakFault& aFault)
 {
-  const std::size_t worker = GuardOf(aFault);
-  if (cluster_.Worker(worker).IsRunning()) {
-    const auto starts = 1 + aFault.length_ / kLostStartInterval;
-    cluster_.Control(cluster_.Worker(worker),
-                     R"({"lose_starts":)" + std::to_string(starts) + "}");
+  const auto starts = 1 + aFault.length_ / kLostStartInterval;
+  ControlWorker(aFault, R"({"lose_starts":)" + std::to_string(starts) + "}");
+}
+
+void
+gpSoak::LoseStops(const gpSoakFault& aFault)
+{
+  const auto stops = 1 + aFault.length_ / kLostStopInterval;
+  ControlWorker(aFault, R"({"lose_stops":)" + std::to_string(stops) + "}");
+}
+
+bool
+gpSoak::ControlWorker(const gpSoakFault& aFault, const std::string& aCommand)
+{
+  gpTestProcess& worker = cluster_.Worker(GuardOf(aFault));
+  const bool isRunning = worker.IsRunning();
+  if (isRunning) {
+    cluster_.Control(worker, aCommand);
   }
+  return isRunning;
 }
 
 void
 gpSoak::DrainWorker(const gpSoakFault& aFault)
 {
-  const std::size_t worker = GuardOf(aFault);
-  if (cluster_.Worker(worker).IsRunning()) {
-    cluster_.Control(cluster_.Worker(worker), R"({"draining":true})");
-    record_.drains_.push_back({ worker, gpEventLoop::Now() });
+  if (ControlWorker(aFault, R"({"draining":true})")) {
+    record_.drains_.push_back({ GuardOf(aFault), gpEventLoop::Now() });
   }
 }
 
 void
 gpSoak::EndDrain(const gpSoakFault& aFault)
 {
-  const std::size_t worker = GuardOf(aFault);
-  CloseDrains(worker);
-  if (cluster_.Worker(worker).IsRunning()) {
-    cluster_.Control(cluster_.Worker(worker), R"({"draining":false})");
-  }
+  CloseDrains(GuardOf(aFault));
+  ControlWorker(aFault, R"({"draining":false})");
 }
 
 void
@@ -412,17 +421,6 @@
   std::move(calls.begin(), calls.end(), std::back_inserter(heartbeats_));
 }
 
-void
-gpSoak::LoseStops(const gpSoakFault& aFault)
-{
-  const std::size_t worker = GuardOf(aFault);
-  if (cluster_.Worker(worker).IsRunning()) {
-    const auto stops = 1 + aFault.length_ / kLostStopInterval;
-    cluster_.Control(cluster_.Worker(worker),
-                     R"({"lose_stops":)" + std::to_string(stops) + "}");
-  }
-}
-
 void
 gpSoak::RepeatJobs(const gpSoakFault& aFault)
 {
--- a/Tests/Soak/gpSoak.h
+++ b/Tests/Soak/gpSoak.h
@@ -57,6 +57,10 @@
   void InjectFault(const gpSoakFault& aFault);
   void ClearFault(const gpSoakFault& aFault);
   void LoseStarts(const gpSoakFault& aFault);
+  void LoseStops(const gpSoakFault& aFault);
+  /// Sends the command to the stand-in of the fault's worker, if it's running.
+  /// Returns whether it is.
+  bool ControlWorker(const gpSoakFault& aFault, const std::string& aCommand);
   void DrainWorker(const gpSoakFault& aFault);
   void EndDrain(const gpSoakFault& aFault);
   /// Ends the recorded drains of the worker: it no longer announces that it
@@ -64,7 +68,6 @@
   void CloseDrains(std::size_t aWorker);
   void ChangeConfiguration(const gpSoakFault& aFault);
   void SendForeignHeartbeats(const gpSoakFault& aFault);
-  void LoseStops(const gpSoakFault& aFault);
   void RepeatJobs(const gpSoakFault& aFault);
   void KillAll(const gpSoakFault& aFault);
   void StartAll(const gpSoakFault& aFault);
