Tests: Let the soak send one kind of foreign heartbeat at a time

Now a fault sends one kind to all guards, in the name of their own worker or the next one's, a DELETE among them.

--- a/Tests/Soak/gpSoak.cxx
+++ b/Tests/Soak/gpSoak.cxx
@@ -400,25 +400,23 @@
 void
 gpSoak::SendForeignHeartbeats(const gpSoakFault& aFault)
 {
-  const std::size_t guard = GuardOf(aFault);
-  const std::size_t other = (guard + 1) % plan_.guards_;
-  if (!cluster_.Guard(guard).IsRunning()) {
-    return;
-  }
-  std::vector<gpTestCall> calls;
-  for (const std::size_t source : { guard, other }) {
-    if (!cluster_.Worker(source).IsRunning()) {
+  for (std::size_t guard = 0; guard < plan_.guards_; ++guard) {
+    // In the name of its own worker, or of the next guard's.
+    const bool isOwn = aFault.length_.count() % 2 == 0;
+    gpTestProcess& worker =
+      cluster_.Worker(isOwn ? guard : (guard + 1) % plan_.guards_);
+    if (!cluster_.Guard(guard).IsRunning() || !worker.IsRunning()) {
       continue;
     }
-    const gpSoakHeartbeats heartbeats(gpBodyOf(cluster_.Http().Get(
-      cluster_.Worker(source).Address("control"), "/control")));
-    for (gpHttpRequest& request : heartbeats.MakeForeign()) {
-      calls.push_back(cluster_.Http().Call(
-        cluster_.Guard(guard).Address("target"), std::move(request)));
+    const gpSoakHeartbeats heartbeats(
+      gpBodyOf(cluster_.Http().Get(worker.Address("control"), "/control")));
+    auto request = heartbeats.MakeForeign(aFault.processIndex_);
+    if (request.has_value()) {
+      // The guard may be frozen, so its answer isn't waited for.
+      heartbeats_.push_back(cluster_.Http().Call(
+        cluster_.Guard(guard).Address("target"), std::move(*request)));
     }
   }
-  // The guard may be frozen, so their answers aren't waited for.
-  std::move(calls.begin(), calls.end(), std::back_inserter(heartbeats_));
 }
 
 void
--- a/Tests/Soak/gpSoakHeartbeats.cxx
+++ b/Tests/Soak/gpSoakHeartbeats.cxx
@@ -1,7 +1,5 @@
 #include "gpSoakHeartbeats.h"
 
-#include <utility>
-
 namespace {
 
 gpHttpRequest
@@ -14,6 +12,14 @@
   return request;
 }
 
+gpHttpRequest
+MakeEnd(const std::string& aId)
+{
+  gpHttpRequest request = MakeRequest(aId, {});
+  request.method_ = "DELETE";
+  return request;
+}
+
 /// Adds aDifference to a field that is a number.
 void
 Shift(boost::json::object& aHeartbeat,
@@ -38,31 +44,38 @@
   }
 }
 
-std::vector<gpHttpRequest>
-gpSoakHeartbeats::MakeForeign() const
+std::optional<gpHttpRequest>
+gpSoakHeartbeats::MakeForeign(std::size_t aKind) const
 {
+  constexpr std::size_t kKinds = 8;
   constexpr std::int64_t kLifeMs = 60000;
-  std::vector<gpHttpRequest> requests;
   if (id_.empty()) {
-    return requests;
+    return std::nullopt;
+  }
+  boost::json::object foreign = heartbeat_;
+  switch (aKind % kKinds) {
+    case 0: // of a later incarnation
+      Shift(foreign, "born", kLifeMs);
+      return MakeRequest(id_, foreign);
+    case 1: // of a worker that doesn't exist
+      Shift(foreign, "born", kLifeMs);
+      return MakeRequest("i-foreign", foreign);
+    case 2: // the same, with a field of another type, and one missing
+      Shift(foreign, "born", kLifeMs);
+      foreign["slots"] = "8";
+      foreign.erase("address");
+      return MakeRequest("i-foreign", foreign);
+    case 3: // of an earlier incarnation
+      Shift(foreign, "born", -kLifeMs);
+      return MakeRequest(id_, foreign);
+    case 4: // with a number that is ahead
+      Shift(foreign, "sequence", kLifeMs);
+      return MakeRequest(id_, foreign);
+    case 5: // repeated
+      return MakeRequest(id_, foreign);
+    case 6:
+      return MakeEnd("i-foreign");
+    default:
+      return MakeEnd(id_);
   }
-  boost::json::object later = heartbeat_;
-  Shift(later, "born", kLifeMs);
-  requests.push_back(MakeRequest(id_, later));
-  requests.push_back(MakeRequest("i-foreign", later));
-  boost::json::object odd = later;
-  odd["slots"] = "8";
-  odd.erase("address");
-  requests.push_back(MakeRequest("i-odd", odd));
-  boost::json::object earlier = heartbeat_;
-  Shift(earlier, "born", -kLifeMs);
-  requests.push_back(MakeRequest(id_, earlier));
-  boost::json::object ahead = heartbeat_;
-  Shift(ahead, "sequence", kLifeMs);
-  requests.push_back(MakeRequest(id_, ahead));
-  requests.push_back(MakeRequest(id_, heartbeat_));
-  gpHttpRequest end = MakeRequest("i-foreign", {});
-  end.method_ = "DELETE";
-  requests.push_back(std::move(end));
-  return requests;
 }
--- a/Tests/Soak/gpSoakHeartbeats.h
+++ b/Tests/Soak/gpSoakHeartbeats.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <optional>
 #include <string>
-#include <vector>
 
 #include <boost/json.hpp>
 
@@ -18,10 +18,10 @@
   /// last heartbeat, and "id" its ID.
   explicit gpSoakHeartbeats(const std::string& aState);
 
-  /// Some heartbeats of an incarnation that doesn't exist, odd ones among them,
-  /// and of the present one out of its order. Empty if the worker has sent
-  /// none.
-  std::vector<gpHttpRequest> MakeForeign() const;
+  /// A heartbeat of an incarnation that doesn't exist, an odd one, one of the
+  /// present incarnation out of its order, or a DELETE; aKind is taken modulo
+  /// their number. Not set if the worker has sent no heartbeat.
+  std::optional<gpHttpRequest> MakeForeign(std::size_t aKind) const;
 
 private:
   std::string id_;
--- a/Tests/Soak/gpSoakPlan.h
+++ b/Tests/Soak/gpSoakPlan.h
@@ -31,7 +31,7 @@
   ResetStore,        ///< the store's connections are reset, new ones refused
   TrimmedStore,      ///< the store drops its history
   Configuration,     ///< a new configuration version is applied
-  ForeignHeartbeats, ///< a guard gets heartbeats that its target didn't send
+  ForeignHeartbeats, ///< guards get heartbeats that their targets did not send
   LoseStops,         ///< a worker ignores some stops
   RepeatJobs,        ///< requests of completed jobs arrive once more
   KillAll,           ///< SIGKILL of all entries and guards, then restarts
@@ -52,7 +52,8 @@
   /// Time from the start of the soak to the start of the fault.
   gpMillis at_{ 0 };
   gpMillis length_{ 0 };
-  /// Selects the entry, guard or worker: its index, modulo their number.
+  /// Selects the entry, guard, worker or kind of heartbeat: its index, modulo
+  /// their number.
   std::size_t processIndex_ = 0;
 };
 
--- a/Tests/Soak/testSoak.cxx
+++ b/Tests/Soak/testSoak.cxx
@@ -51,6 +51,9 @@
   // At the end of a graceful shutdown, the connections of remaining jobs were
   // closed without an answer.
   RunSeed(128, 1, kFirstSoakKinds);
+  // Foreign heartbeats ended runs of live targets (in a trial with a guard that
+  // believes each heartbeat).
+  RunSeed(2001, 1, kAllSoakKinds);
 }
 
 BOOST_AUTO_TEST_CASE(SeedsKeepTheGuarantees)
