--- a/Tests/Soak/gpSoak.cxx
+++ b/Tests/Soak/gpSoak.cxx
@@ -429,28 +429,25 @@
 void
 gpSoak::KillAll(const gpSoakFault& aFault)
 {
-  gpSoakFault one = aFault;
-  for (one.processIndex_ = 0; one.processIndex_ < plan_.entries_;
-       ++one.processIndex_) {
-    KillEntry(one);
-  }
-  for (one.processIndex_ = 0; one.processIndex_ < plan_.guards_;
-       ++one.processIndex_) {
-    KillGuard(one);
-  }
+  ForAll(aFault, &gpSoak::KillEntry, &gpSoak::KillGuard);
 }
 
 void
 gpSoak::StartAll(const gpSoakFault& aFault)
 {
-  gpSoakFault one = aFault;
-  for (one.processIndex_ = 0; one.processIndex_ < plan_.entries_;
-       ++one.processIndex_) {
-    StartEntry(one);
+  ForAll(aFault, &gpSoak::StartEntry, &gpSoak::StartGuard);
+}
+
+void
+gpSoak::ForAll(gpSoakFault aFault, Step aEntryStep, Step aGuardStep)
+{
+  for (std::size_t entry = 0; entry < plan_.entries_; ++entry) {
+    aFault.processIndex_ = entry;
+    (this->*aEntryStep)(aFault);
   }
-  for (one.processIndex_ = 0; one.processIndex_ < plan_.guards_;
-       ++one.processIndex_) {
-    StartGuard(one);
+  for (std::size_t guard = 0; guard < plan_.guards_; ++guard) {
+    aFault.processIndex_ = guard;
+    (this->*aGuardStep)(aFault);
   }
 }
 
--- a/Tests/Soak/gpSoak.h
+++ b/Tests/Soak/gpSoak.h
@@ -71,6 +71,8 @@
   void RepeatJobs(const gpSoakFault& aFault);
   void KillAll(const gpSoakFault& aFault);
   void StartAll(const gpSoakFault& aFault);
+  /// Takes a step of the fault at each entry, then one at each guard.
+  void ForAll(gpSoakFault aFault, Step aEntryStep, Step aGuardStep);
   void NoAction(const gpSoakFault& aFault);
 
   std::size_t EntryOf(const gpSoakFault& aFault) const;
