Guard: Take the pauses of questions about claims from the polls

Found in the last reading: gpTargetClaims had written gpPollSchedule's shortest and longest pause and its limit of fast refusals again, with the same values and reasons. There's one copy now; no value and no decision changes.

--- a/Source/Lease/gpPollSchedule.cxx
+++ b/Source/Lease/gpPollSchedule.cxx
@@ -4,17 +4,9 @@
 
 namespace {
 
-/// First pause after a failed poll. Short enough for several polls within the
-/// time after which a silent target gets no more work.
-constexpr gpMillis kShortestPause{ 20 };
-/// Longest pause, reached while a target is unreachable: a few polls a second.
-constexpr gpMillis kLongestPause{ 160 };
 /// The pause grows only after so many consecutive failures, as single answers
 /// may be lost.
 constexpr int kFailuresBeforeBackoff = 3;
-/// So many refusals for the fence are followed by a poll at once: more than the
-/// fence needs to reach its limit, as each one doubles the raise.
-constexpr int kMostFastRefusals = 60;
 
 } // namespace
 
--- a/Source/Lease/gpPollSchedule.h
+++ b/Source/Lease/gpPollSchedule.h
@@ -11,6 +11,16 @@
 class gpPollSchedule
 {
 public:
+  /// First pause after a failed call. Short enough for several polls within the
+  /// time after which a silent target gets no more work.
+  static constexpr gpMillis kShortestPause{ 20 };
+  /// Longest pause, reached while a target is unreachable: a few calls a
+  /// second.
+  static constexpr gpMillis kLongestPause{ 160 };
+  /// So many refusals for the fence are followed by a call at once: more than
+  /// the fence needs to reach its limit, as each one doubles the raise.
+  static constexpr int kMostFastRefusals = 60;
+
   bool IsDue(gpTime aNow) const { return !isInFlight_ && aNow >= nextAt_; }
   bool IsInFlight() const { return isInFlight_; }
   /// When the next poll is due; valid only while none is in flight.
--- a/Source/Lease/gpTargetClaims.cxx
+++ b/Source/Lease/gpTargetClaims.cxx
@@ -98,7 +98,7 @@
   for (Entry& entry : claims_) {
     if (entry.claim_.target_.id_ == aId) {
       entry.nextAt_ = aNow + entry.pause_;
-      entry.pause_ = std::min(2 * entry.pause_, kLongestPause);
+      entry.pause_ = std::min(2 * entry.pause_, gpPollSchedule::kLongestPause);
     }
   }
 }
@@ -109,8 +109,10 @@
   isAsking_ = false;
   for (Entry& entry : claims_) {
     if (entry.claim_.target_.id_ == aId) {
-      const bool isAtOnce = ++entry.fenceRefusals_ <= kMostFenceRefusals;
-      entry.nextAt_ = aNow + (isAtOnce ? gpMillis(0) : kLongestPause);
+      const bool isAtOnce =
+        ++entry.fenceRefusals_ <= gpPollSchedule::kMostFastRefusals;
+      entry.nextAt_ =
+        aNow + (isAtOnce ? gpMillis(0) : gpPollSchedule::kLongestPause);
     }
   }
 }
--- a/Source/Lease/gpTargetClaims.h
+++ b/Source/Lease/gpTargetClaims.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "gpPollSchedule.h"
 #include "gpTargetAnnouncement.h"
 #include "gpTime.h"
 
@@ -24,7 +25,8 @@
  * Anybody may have written a heartbeat, so it's no proof that the known
  * incarnation has ended. The last few claims are kept, so that a foreign one
  * doesn't replace a true one. A claim that has no answer is repeated after
- * growing pauses (exponential backoff) until its last heartbeat is too old.
+ * growing pauses (exponential backoff, with the pauses of the polls) until its
+ * last heartbeat is too old.
  */
 class gpTargetClaims
 {
@@ -61,18 +63,12 @@
     gpTargetClaim claim_;
     gpTime nextAt_;
     /// Pause after the next question, if it has no answer.
-    gpMillis pause_ = kFirstPause;
+    gpMillis pause_ = gpPollSchedule::kShortestPause;
     int fenceRefusals_ = 0;
   };
 
   /// Bound of the calls to the target, whatever number of heartbeats arrives.
   static constexpr gpMillis kShortestPause{ 5 };
-  /// First and longest pause between two questions about one claim.
-  static constexpr gpMillis kFirstPause{ 20 };
-  static constexpr gpMillis kLongestPause{ 160 };
-  /// So many refusals for the fence are followed by a question at once: more
-  /// than the fence needs to reach its limit, as each one doubles the raise.
-  static constexpr int kMostFenceRefusals = 60;
   static constexpr std::size_t kMostClaims = 4;
 
   std::vector<Entry> claims_;
