--- a/CMake/gpSourceDigest.cmake
+++ b/CMake/gpSourceDigest.cmake
@@ -15,8 +15,8 @@
   set(${out} "${lines}" PARENT_SCOPE)
 endfunction()
 
-# Sets `out` to 12 hexadecimal digits that differ between any two contents of the
-# listed sources.
+# Sets `out` to 12 hexadecimal digits that tell the listed sources apart from
+# others.
 function(gp_digest_sources sources out)
   string(SHA256 digest "${sources}")
   string(SUBSTRING "${digest}" 0 12 digest)
--- a/Source/Process/gpDaemonOptions.cxx
+++ b/Source/Process/gpDaemonOptions.cxx
@@ -1,5 +1,4 @@
 #include "gpDaemonOptions.h"
-#include "gpBuildVersion.h"
 
 #include <fstream>
 #include <iostream>
@@ -7,6 +6,8 @@
 
 #include <boost/program_options.hpp>
 
+#include "gpBuildVersion.h"
+
 namespace po = boost::program_options;
 
 namespace {
