--- a/review/harness-2/gpReviewCluster.cxx
+++ b/review/harness-2/gpReviewCluster.cxx
@@ -36,21 +36,6 @@
   return address;
 }
 
-int
-FreePort()
-{
-  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = Loopback(0);
-  socklen_t size = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  if (bind(listener, generic, size) != 0 ||
-      getsockname(listener, generic, &size) != 0) {
-    throw gpReviewFailure{ "no free port" };
-  }
-  close(listener);
-  return ntohs(address.sin_port);
-}
-
 std::string
 AddressOf(int aPort)
 {
@@ -85,6 +70,21 @@
 
 } // namespace
 
+int
+gpReviewFreePort()
+{
+  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address = Loopback(0);
+  socklen_t size = sizeof(address);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  if (bind(listener, generic, size) != 0 ||
+      getsockname(listener, generic, &size) != 0) {
+    throw gpReviewFailure{ "no free port" };
+  }
+  close(listener);
+  return ntohs(address.sin_port);
+}
+
 gpReviewMs
 gpReviewNow()
 {
@@ -300,8 +300,8 @@
     { { "Host", "control" } });
   control.Receive(kStartTime);
   for (std::size_t index = 0; index < aEntries; ++index) {
-    links_.push_back(FreePort());
-    callers_.push_back(FreePort());
+    links_.push_back(gpReviewFreePort());
+    callers_.push_back(gpReviewFreePort());
   }
   for (std::size_t index = 0; index < aEntries; ++index) {
     const std::string name = "entry-" + std::to_string(index);
@@ -323,10 +323,10 @@
                                            "worker-" + number,
                                            { "--journal", journals_.back() });
     const std::string name = "guard-" + number;
-    const int heartbeats = FreePort();
+    const int heartbeats = gpReviewFreePort();
     const std::string file = WriteSettings(
       name,
-      Common(name) + R"("links":{"listen":)" + AddressOf(FreePort()) +
+      Common(name) + R"("links":{"listen":)" + AddressOf(gpReviewFreePort()) +
         R"(},"target":{"listen":)" + AddressOf(heartbeats) +
         R"(,"service":"ponds","address":)" +
         AddressOf(worker->WaitForPort("service")) + "}}");
--- a/review/harness-2/gpReviewCluster.h
+++ b/review/harness-2/gpReviewCluster.h
@@ -18,6 +18,10 @@
 void
 gpReviewSleep(gpReviewMs aTime);
 
+/// A loopback port on which nobody listens.
+int
+gpReviewFreePort();
+
 /** \class gpReviewFailure
  * \brief The case can't run, for a reason that isn't the fault under test.
  */
@@ -82,7 +86,7 @@
   int socket_ = -1;
 };
 
-/** \class gpReviewStart
+/** \class gpReviewEvent
  * \brief A line of a worker's journal.
  */
 struct gpReviewEvent
