Review: A completed job runs twice at one time in a fleet of 13 entries

The answer of a completed job is lost with its connection; the job is sent again to a second entry, and a late copy of the first request arrives at a third one. If neither is linked with the first, both run it at one time (rule TWICE). The harness takes free ports below the range of client ports: one start of 13 entries had failed, probably on a taken port.

--- a/review/harness-2/gpReviewCluster.cxx
+++ b/review/harness-2/gpReviewCluster.cxx
@@ -8,6 +8,7 @@
 #include <ctime>
 #include <filesystem>
 #include <random>
+#include <set>
 #include <sstream>
 
 #include <arpa/inet.h>
@@ -73,16 +74,24 @@
 int
 gpReviewFreePort()
 {
-  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = Loopback(0);
-  socklen_t size = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  if (bind(listener, generic, size) != 0 ||
-      getsockname(listener, generic, &size) != 0) {
-    throw gpReviewFailure{ "no free port" };
+  // Below the range from which the system takes the ports of clients.
+  constexpr int kFirst = 20000;
+  constexpr int kCount = 12000;
+  static std::mt19937 numbers{ std::random_device{}() };
+  static std::set<int> taken;
+  for (int attempt = 0; attempt < kCount; ++attempt) {
+    const int port = kFirst + static_cast<int>(numbers() % kCount);
+    const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = Loopback(port);
+    const bool isFree = bind(listener,
+                             reinterpret_cast<const sockaddr*>(&address),
+                             sizeof(address)) == 0;
+    close(listener);
+    if (isFree && taken.insert(port).second) {
+      return port;
+    }
   }
-  close(listener);
-  return ntohs(address.sin_port);
+  throw gpReviewFailure{ "no free port" };
 }
 
 gpReviewMs
