--- a/review/harness-2/gpReviewCluster.cxx
+++ b/review/harness-2/gpReviewCluster.cxx
@@ -271,6 +271,22 @@
   return {};
 }
 
+std::string
+gpReviewCall::Lose(gpReviewMs aTimeout)
+{
+  pollfd ready{ socket_, POLLIN, 0 };
+  if (socket_ < 0 || poll(&ready, 1, static_cast<int>(aTimeout)) <= 0) {
+    return "";
+  }
+  char chunk[4096];
+  const ssize_t size = recv(socket_, chunk, sizeof(chunk), MSG_PEEK);
+  const linger reset{ 1, 0 };
+  setsockopt(socket_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  close(socket_);
+  socket_ = -1;
+  return size > 0 ? std::string(chunk, static_cast<std::size_t>(size)) : "";
+}
+
 gpReviewCluster::gpReviewCluster(std::size_t aEntries,
                                  std::size_t aGuards,
                                  const std::string& aRecord)
--- a/review/harness-2/gpReviewCluster.h
+++ b/review/harness-2/gpReviewCluster.h
@@ -81,6 +81,9 @@
             const std::string& aBody,
             const std::map<std::string, std::string>& aHeaders = {});
   gpReviewAnswer Receive(gpReviewMs aTimeout);
+  /// Waits until an answer has arrived and resets the connection with the
+  /// answer unread. Returns what was lost, for the record.
+  std::string Lose(gpReviewMs aTimeout);
 
 private:
   int socket_ = -1;
