Review: A job shown as failed runs twice at one time

A job that can never be done is answered 200 failed after three runs; the answer is lost with its connection. The job is sent again to a second entry, and a late copy of the first request arrives at a third one: both run it at one time (rule TWICE), in a fleet of three entries, as nobody is told of a job that has failed.

--- a/review/harness-2/gpReviewCluster.cxx
+++ b/review/harness-2/gpReviewCluster.cxx
@@ -115,6 +115,23 @@
   return trouble == nullptr || std::string(trouble) != "0";
 }
 
+int
+gpReviewCountPairs(const std::vector<gpReviewEvent>& aEvents)
+{
+  std::map<std::string, std::set<std::string>> running;
+  int pairs = 0;
+  for (const gpReviewEvent& event : aEvents) {
+    auto& runs = running[event.task_];
+    if (event.event_ == "started") {
+      pairs += static_cast<int>(runs.size());
+      runs.insert(event.run_);
+    } else {
+      runs.erase(event.run_);
+    }
+  }
+  return pairs;
+}
+
 gpReviewProcess::gpReviewProcess(std::vector<std::string> aCommand,
                                  std::string aOutput)
   : command_(std::move(aCommand))
@@ -411,6 +428,14 @@
          "}]}";
 }
 
+std::string
+gpReviewCluster::FailingJobBody(int aRunMs)
+{
+  std::string body = JobBody(1, aRunMs);
+  body.insert(body.find("}\",\"bestEffort"), R"(,\"fails\":true)");
+  return body;
+}
+
 std::string
 gpReviewCluster::NewId()
 {
--- a/review/harness-2/gpReviewCluster.h
+++ b/review/harness-2/gpReviewCluster.h
@@ -126,6 +126,8 @@
   int CallersPort(std::size_t aIndex) const { return callers_.at(aIndex); }
   /// The body of a best-effort job with one step.
   static std::string JobBody(int aTasks, int aRunMs);
+  /// The body of one with a single task, all of whose runs fail.
+  static std::string FailingJobBody(int aRunMs);
   static std::string NewId();
   static std::map<std::string, std::string> ClientHeaders(int aDeadlineMs);
   /// All lines of the workers' journals about one job.
@@ -150,6 +152,10 @@
   std::vector<std::unique_ptr<gpReviewProcess>> guards_;
 };
 
+/// Counts the pairs of runs of one task that were at work at one time.
+int
+gpReviewCountPairs(const std::vector<gpReviewEvent>& aEvents);
+
 /// Whether the case is to cause the disruption (TROUBLE isn't 0).
 bool
 gpReviewHasTrouble();
