Review: Compare the runs of the cases by microseconds

review/6 with TROUBLE=0 failed 1 of 5 runs, and 4 of 16 when traced: times of the journals were cut to milliseconds, and a run that ended in the millisecond in which the next one started on another worker could count as beside it.

--- a/review/harness-2/gpReviewCluster.cxx
+++ b/review/harness-2/gpReviewCluster.cxx
@@ -487,14 +487,15 @@
                            task,
                            FieldOf(line, "number"),
                            FieldOf(line, "event"),
-                           std::stoll(at) / 1000 });
+                           std::stoll(at) / 1000,
+                           std::stoll(at) });
       }
     }
   }
   std::stable_sort(events.begin(),
                    events.end(),
                    [](const gpReviewEvent& aLeft, const gpReviewEvent& aRight) {
-                     return aLeft.at_ < aRight.at_;
+                     return aLeft.atUs_ < aRight.atUs_;
                    });
   return events;
 }
@@ -509,8 +510,8 @@
 gpReviewCluster::NoteEvents(const std::string& aJob)
 {
   for (const gpReviewEvent& event : ListEvents(aJob)) {
-    record_ << event.at_ - beganAt_ << " ms: " << event.worker_ << ": "
-            << event.task_ << " run " << event.run_ << " " << event.event_
-            << std::endl;
+    record_ << event.at_ - beganAt_ << " ms (at " << event.atUs_
+            << " us): " << event.worker_ << ": " << event.task_ << " run "
+            << event.run_ << " " << event.event_ << std::endl;
   }
 }
--- a/review/harness-2/gpReviewCluster.h
+++ b/review/harness-2/gpReviewCluster.h
@@ -99,6 +99,9 @@
   std::string run_;
   std::string event_;
   gpReviewMs at_ = 0;
+  /// The same in microseconds: one run may end and the next one start within a
+  /// millisecond.
+  std::int64_t atUs_ = 0;
 };
 
 /** \class gpReviewCluster
@@ -152,7 +155,8 @@
   std::vector<std::unique_ptr<gpReviewProcess>> guards_;
 };
 
-/// Counts the pairs of runs of one task that were at work at one time.
+/// Counts the pairs of runs of one task that were at work at one time, by the
+/// microseconds of the journals.
 int
 gpReviewCountPairs(const std::vector<gpReviewEvent>& aEvents);
 
