--- a/Tests/Integration/Operations/gpRawSocket.cxx
+++ b/Tests/Integration/Operations/gpRawSocket.cxx
@@ -3,45 +3,20 @@
 #include <array>
 #include <cerrno>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
 
 #include "gpTestFailure.h"
 #include "gpTestProcess.h"
-
-namespace {
-
-sockaddr_in
-ToSocketAddress(const gpAddress& aServer)
-{
-  const std::size_t colon = aServer.value_.find(':');
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(
-    static_cast<std::uint16_t>(std::stoi(aServer.value_.substr(colon + 1))));
-  inet_pton(
-    AF_INET, aServer.value_.substr(0, colon).c_str(), &address.sin_addr);
-  return address;
-}
-
-} // namespace
+#include "gpTestSocket.h"
 
 gpRawSocket::gpRawSocket(const gpAddress& aServer)
-  : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  : socket_(gpConnectTestSocket(aServer))
 {
-  const sockaddr_in address = ToSocketAddress(aServer);
   const timeval timeout{ kTestTimeout.count() / 1000, 0 };
   setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
   setsockopt(socket_, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
-  if (connect(socket_,
-              reinterpret_cast<const sockaddr*>(&address),
-              sizeof(address)) != 0) {
-    close(socket_);
-    throw gpTestFailure("can't connect to " + aServer.value_);
-  }
 }
 
 gpRawSocket::~gpRawSocket()
--- a/Tests/Integration/Operations/testBadInput.cxx
+++ b/Tests/Integration/Operations/testBadInput.cxx
@@ -4,6 +4,7 @@
 
 #include "gpOperationsCluster.h"
 #include "gpOperationsLoad.h"
+#include "gpProcessUsage.h"
 #include "gpRawSocket.h"
 #include "gpTestFailure.h"
 
@@ -18,26 +19,10 @@
 constexpr std::size_t kTooLargeHeader = 64U << 10U;
 const std::string kPostHead = "POST /v1/jobs HTTP/1.1\r\nHost: test\r\n";
 
-/// Resident memory of a process, in bytes.
-std::size_t
-MemoryOf(const gpTestProcess& aProcess)
-{
-  std::ifstream status("/proc/" + std::to_string(aProcess.Pid()) + "/status");
-  std::string word;
-  while (status >> word) {
-    if (word == "VmRSS:") {
-      std::size_t kilobytes = 0;
-      status >> kilobytes;
-      return kilobytes * 1024;
-    }
-  }
-  throw gpTestFailure(aProcess.Name() + " has no VmRSS in its /proc status");
-}
-
 std::size_t
 GrowthSince(std::size_t aBefore, const gpTestProcess& aProcess)
 {
-  const std::size_t now = MemoryOf(aProcess);
+  const std::size_t now = gpMemoryOf(aProcess);
   return now > aBefore ? now - aBefore : 0;
 }
 
@@ -155,7 +140,7 @@
     kPostHead + "Transfer-Encoding: chunked\r\n\r\n1100000\r\n";
   chunk.append(kTooLargeBody, 'x');
   serving.RunLoad();
-  const std::size_t before = MemoryOf(entry);
+  const std::size_t before = gpMemoryOf(entry);
   for (int i = 0; i < kAttempts / 2; ++i) {
     BOOST_TEST(
       AnswerTo(http, kPostHead + "Content-Length: 1000000000\r\n\r\n") ==
@@ -176,7 +161,7 @@
   for (gpTestProcess* process :
        { &serving.cluster_.Entry(0), &serving.cluster_.Guard(0) }) {
     const gpAddress links = process->Address("links");
-    const std::size_t before = MemoryOf(*process);
+    const std::size_t before = gpMemoryOf(*process);
     const std::string payload(kMegabyte, 'x');
     for (int i = 0; i < kAttempts; ++i) {
       const gpRawSocket socket(links);
--- a/Tests/Integration/Platform/gpPlatformCluster.cxx
+++ b/Tests/Integration/Platform/gpPlatformCluster.cxx
@@ -104,9 +104,11 @@
     links += R"(,"advertise":")" +
              entryProxies_.back()->Address("service").value_ + "\"";
   }
-  const std::string file = WriteSettings(
-    name,
-    CommonSettings(name) + links + R"(},"callers":{"listen":"127.0.0.1:0"}})");
+  const std::string file =
+    WriteSettings(name,
+                  CommonSettings(name) + links +
+                    R"(},"metrics":{"listen":"127.0.0.1:0"},)"
+                    R"("callers":{"listen":"127.0.0.1:0"}})");
   entries_.push_back(std::make_unique<gpTestProcess>(
     gpTestCommand{ .name_ = name,
                    .program_ = "gypsumpoint-entry",
