Server: Refuse trailers and chunk lines that don't end

Cause: the limits of the parser hold for the header and for the sum of the body, not for what it hasn't consumed: it takes trailers, and the line before a chunk, only when they are complete, and until then they stay in the session's buffer, which had no limit.

Now what the parser leaves may have the size of a header, 16 KiB; 431 above it. The same holds for the responses that the HTTP client reads.

--- a/Source/Runtime/gpHttpConnection.cxx
+++ b/Source/Runtime/gpHttpConnection.cxx
@@ -263,6 +263,11 @@
     error_code error;
     const std::size_t used = parser_->put(boost::asio::buffer(input_), error);
     input_.erase(0, used);
+    if (error == http::error::need_more && input_.size() > kMaxHeaderBytes) {
+      // Trailers, or the line before a chunk, that don't end. The limits of the
+      // parser don't hold for them.
+      error = http::error::header_limit;
+    }
     if (error == http::error::need_more) {
       return;
     }
--- a/Source/Runtime/gpHttpServer.h
+++ b/Source/Runtime/gpHttpServer.h
@@ -19,6 +19,8 @@
 struct gpHttpLimits
 {
   /// Largest header of a request, with the request line; 431 if it is larger.
+  /// The same holds for the trailers of a chunked body and for the line before
+  /// each chunk.
   std::size_t headerBytes_ = 16U << 10U;
   /// Largest body of a request; 413 if it is larger.
   std::size_t bodyBytes_ = 16U << 20U;
--- a/Source/Runtime/gpHttpSession.cxx
+++ b/Source/Runtime/gpHttpSession.cxx
@@ -207,6 +207,10 @@
   input_.erase(0, used);
   if (error && error != http::error::need_more) {
     Write(gpRefuseRequest(ToRefusal(error)), false);
+  } else if (!parser_->is_done() && input_.size() > limits_.headerBytes_) {
+    // The parser takes trailers, and the size and extensions of a chunk, only
+    // when they are complete. Its limits don't hold for them.
+    Write(gpRefuseRequest(gpHttpRefusal::HeaderTooLarge), false);
   } else if (parser_->is_done()) {
     HandleRequest();
   } else if (parser_->is_header_done()) {
--- a/Tests/Runtime/testHttpClient.cxx
+++ b/Tests/Runtime/testHttpClient.cxx
@@ -211,3 +211,17 @@
   gpRunUntil(loop_, [&] { return server_.IsClosedByPeer(0); });
   BOOST_TEST(replies_.empty());
 }
+
+// A server that never ends the trailers of its response must not fill the
+// memory of this process.
+BOOST_FIXTURE_TEST_CASE(TrailersWithoutEndFailTheCall, Fixture)
+{
+  Call("/a");
+  AwaitRequest(0, "/a");
+  server_.Send(0,
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "0\r\nX: " +
+                 std::string(40000, 'x'));
+  AwaitReply();
+  BOOST_TEST((CodeOf(0) == gpErrorCode::HttpFailure));
+}
--- a/Tests/Runtime/testHttpServer.cxx
+++ b/Tests/Runtime/testHttpServer.cxx
@@ -203,6 +203,30 @@
   BOOST_TEST(StatusLine(answer) == "HTTP/1.1 413 Payload Too Large");
 }
 
+// The parser takes trailers and the lines before chunks only when they are
+// complete, and its limits don't hold for them until then.
+BOOST_FIXTURE_TEST_CASE(TrailersAndChunkLinesWithoutEndAreRefused, SmallFixture)
+{
+  const std::string head =
+    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& rest : { "0\r\nX: " + std::string(400, 'x'),
+                                   "1;e=" + std::string(400, 'x'),
+                                   std::string(400, '0') }) {
+    BOOST_TEST(StatusLine(ReadRefusal(head + rest)) ==
+               "HTTP/1.1 431 Request Header Fields Too Large");
+  }
+  BOOST_TEST(ids_.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(TrailersWithinTheLimitAreAccepted, SmallFixture)
+{
+  gpRawCaller caller(loop_, address_);
+  caller.Send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "2;e=f\r\nab\r\n0\r\nX: y\r\n\r\n");
+  AwaitRequests(1);
+  BOOST_TEST(requests_[0].body_ == "ab");
+}
+
 BOOST_FIXTURE_TEST_CASE(ASlowCallerDoesNotDelayOthers, SmallFixture)
 {
   gpRawCaller slow(loop_, address_);
