Links: Bound handshakes, accepted links and what all of them buffer

What callers saw: 2,700 connections to the link port that send a hello but for its end, or a valid hello each, brought an entry to 121 and 194 MB, a guard to 191 MB (the users: 202 MB of connections that send nothing). The memory stayed.

Cause: each connection had a receive buffer of 64 KB before its hello, and there was no limit for connections in the handshake, links that others have opened, or the bytes that all links together buffer until a frame is complete or sent.

Now a connection begins with 8 KB and keeps 16 KB. 128 handshakes may be in progress: a further one takes the place of the one that was accepted first, as a peer completes it within milliseconds. 1,024 accepted links may be up. When all links together buffer too much, the link with the most is closed (link_memory_full).

--- a/Source/Model/gpError.h
+++ b/Source/Model/gpError.h
@@ -27,6 +27,7 @@
   LinkClosed,       ///< the peer closed or reset the connection
   LinkSilent,       ///< no bytes from the peer within the silence limit
   SendBufferFull,   ///< the peer reads too slowly
+  LinkMemoryFull,   ///< all links together buffer too much, this one the most
   HttpFailure,      ///< an HTTP exchange was interrupted
   HttpTimeout,      ///< an HTTP exchange timed out
   LogUnavailable,   ///< the log service or store doesn't answer
--- a/Source/Runtime/gpLinkConnection.cxx
+++ b/Source/Runtime/gpLinkConnection.cxx
@@ -10,9 +10,11 @@
 
 namespace {
 
-/// Initial size of the receive buffer; it shrinks to this again when it is
-/// empty.
-constexpr std::size_t kReceiveBufferBytes = 64U << 10U;
+/// Initial size of the receive buffer, enough for a usual handshake. Each
+/// connection has it, also one that sends nothing.
+constexpr std::size_t kInitialBufferBytes = 8U << 10U;
+/// A larger receive buffer shrinks to this size when it is empty.
+constexpr std::size_t kReceiveBufferBytes = 16U << 10U;
 /// The buffer is compacted, and grows if needed, when less space than this is
 /// left for a read.
 constexpr std::size_t kMinReadBytes = 4U << 10U;
@@ -45,7 +47,7 @@
   : socket_(std::move(aSocket))
   , limits_(aLimits)
   , handlers_(std::move(aHandlers))
-  , received_(kReceiveBufferBytes)
+  , received_(kInitialBufferBytes)
   , lastReceived_(gpEventLoop::Now())
 {
   boost::system::error_code ignored;
@@ -62,6 +64,9 @@
 gpLinkConnection::Read()
 {
   EnsureReadSpace();
+  if (closed_) {
+    return; // the memory of all connections together has run out
+  }
   socket_.async_read_some(
     boost::asio::buffer(received_.data() + end_, received_.size() - end_),
     [self = shared_from_this()](const boost::system::error_code& aError,
@@ -88,6 +93,7 @@
     end_ = 0;
     if (received_.size() > kReceiveBufferBytes) {
       received_ = std::vector<char>(kReceiveBufferBytes);
+      handlers_.buffered_();
     }
     return;
   }
@@ -101,6 +107,7 @@
   begin_ = 0;
   if (received_.size() - end_ < received_.size() / 2) {
     received_.resize(received_.size() * 2);
+    handlers_.buffered_();
   }
 }
 
@@ -155,6 +162,7 @@
   if (writing_.empty()) {
     Write();
   }
+  handlers_.buffered_();
 }
 
 void
@@ -191,7 +199,19 @@
   if (!queued_.empty()) {
     Write();
   }
-  handlers_.written_();
+  handlers_.buffered_();
+  if (!closed_) {
+    handlers_.written_();
+  }
+}
+
+std::size_t
+gpLinkConnection::GetBufferedBytes() const
+{
+  const std::size_t received = received_.size() > kReceiveBufferBytes
+                                 ? received_.size() - kReceiveBufferBytes
+                                 : 0;
+  return received + (queuedBytes_ - writtenBytes_);
 }
 
 void
--- a/Source/Runtime/gpLinkConnection.h
+++ b/Source/Runtime/gpLinkConnection.h
@@ -42,6 +42,8 @@
     std::function<void(std::string_view)> payload_;
     /// Bytes have been passed to the operating system; see GetWrittenBytes.
     std::function<void()> written_;
+    /// GetBufferedBytes has changed.
+    std::function<void()> buffered_;
     /// The connection broke, or was closed because a limit was exceeded. No
     /// handler is called afterwards.
     std::function<void(gpErrorCode)> closed_;
@@ -59,6 +61,8 @@
   void Send(std::string aPayload);
   /// Closes the connection. No handler is called for it, nor afterwards.
   void Close();
+  /// Closes the connection for this reason, and calls the closed_ handler.
+  void Fail(gpErrorCode aCode);
 
   /// All bytes that Send has queued so far, with the length prefixes.
   std::uint64_t GetQueuedBytes() const { return queuedBytes_; }
@@ -67,6 +71,9 @@
   /// Whether nothing is queued to be sent.
   bool IsIdle() const { return queuedBytes_ == writtenBytes_; }
   std::uint64_t GetReceivedBytes() const { return receivedBytes_; }
+  /// Memory of payloads that are sent and of one that is received in parts,
+  /// beyond what each connection has.
+  std::size_t GetBufferedBytes() const;
   /// When the last bytes were received, at first when this object was created.
   gpTime GetLastReceived() const { return lastReceived_; }
 
@@ -87,7 +94,6 @@
   bool HandleNextPayload();
   void Write();
   void OnWritten(std::size_t aBytes);
-  void Fail(gpErrorCode aCode);
 
   boost::asio::ip::tcp::socket socket_;
   Limits limits_;
--- a/Source/Runtime/gpLinkService.cxx
+++ b/Source/Runtime/gpLinkService.cxx
@@ -1,6 +1,8 @@
 #include "gpLinkService.h"
 
+#include <algorithm>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -56,12 +58,18 @@
   void OnLinkUp(gpLinkSession& aSession) override;
   void OnLinkMessage(gpLinkSession& aSession, gpMessage aMessage) override;
   void OnLinkWritten(gpLinkSession& aSession) override;
+  void OnLinkBuffered(gpLinkSession& aSession) override;
   void OnLinkClosed(gpLinkSession& aSession, gpErrorCode aCode) override;
 
   gpLinkDialer::Handlers MakeDialerHandlers(const gpAddress& aAddress);
   gpLinkId AddSession(tcp::socket aSocket, std::optional<gpAddress> aDialed);
   void OnDialed(const gpAddress& aAddress, tcp::socket aSocket);
+  void OnAccepted(tcp::socket aSocket);
   void CloseEarlierLink(gpIncarnation aIncarnation);
+  /// Closes the links with the most buffered bytes until all together are
+  /// within the limit.
+  void LimitMemory();
+  void NoteLimit(gpLinkLimitKind aLimit);
   void RemoveSession(const gpLinkSession& aSession);
   void SendQueuedMessages();
   void AddFlushWaiter(std::function<void()> aFlushed);
@@ -82,6 +90,11 @@
   std::vector<std::shared_ptr<gpLinkAcceptor>> acceptors_;
   std::map<gpAddress, WatchEntry> watches_;
   std::unordered_map<gpLinkId, std::shared_ptr<gpLinkSession>> sessions_;
+  /// What each link buffers, and all of them together.
+  std::unordered_map<gpLinkId, std::size_t> buffered_;
+  std::size_t bufferedBytes_ = 0;
+  /// Accepted connections whose handshake is in progress, the first one first.
+  std::set<gpLinkId> handshakes_;
   /// Accepted links that are up, by the peer's incarnation.
   std::unordered_map<gpIncarnation, gpLinkId> accepted_;
   /// Links whose queued messages are sent at the end of this loop iteration.
@@ -96,7 +109,7 @@
   const auto acceptor = std::make_shared<gpLinkAcceptor>(
     context_, [weak = weak_from_this()](tcp::socket aSocket) {
       if (const auto self = weak.lock()) {
-        self->AddSession(std::move(aSocket), std::nullopt);
+        self->OnAccepted(std::move(aSocket));
       }
     });
   auto address = acceptor->Listen(aAddress);
@@ -106,6 +119,19 @@
   return address;
 }
 
+void
+gpLinkService::Impl::OnAccepted(tcp::socket aSocket)
+{
+  if (handshakes_.size() >= context_.settings_.handshakes_) {
+    NoteLimit(gpLinkLimitKind::Handshakes);
+    Close(*handshakes_.begin());
+  }
+  const gpLinkId link = AddSession(std::move(aSocket), std::nullopt);
+  if (sessions_.contains(link)) {
+    handshakes_.insert(link);
+  }
+}
+
 void
 gpLinkService::Impl::Watch(const gpAddress& aAddress)
 {
@@ -240,10 +266,16 @@
 {
   const gpIncarnation incarnation = aSession.GetPeer().incarnation_;
   if (!aSession.GetDialed()) {
+    handshakes_.erase(aSession.GetId());
     CloseEarlierLink(incarnation);
     if (!aSession.IsUp()) {
       return; // the down_ handler has closed this link
     }
+    if (accepted_.size() >= context_.settings_.acceptedLinks_) {
+      NoteLimit(gpLinkLimitKind::AcceptedLinks);
+      Close(aSession.GetId());
+      return;
+    }
     accepted_[incarnation] = aSession.GetId();
   }
   handlers_.up_(aSession.GetId(), aSession.GetPeer(), aSession.GetDialed());
@@ -276,6 +308,42 @@
                    aSession.GetConnection().GetWrittenBytes());
 }
 
+void
+gpLinkService::Impl::OnLinkBuffered(gpLinkSession& aSession)
+{
+  std::size_t& known = buffered_[aSession.GetId()];
+  const std::size_t bytes = aSession.GetConnection().GetBufferedBytes();
+  bufferedBytes_ += bytes - known;
+  known = bytes;
+  if (bufferedBytes_ > context_.settings_.memoryBytes_) {
+    LimitMemory();
+  }
+}
+
+void
+gpLinkService::Impl::LimitMemory()
+{
+  while (bufferedBytes_ > context_.settings_.memoryBytes_) {
+    const auto largest =
+      std::max_element(buffered_.begin(),
+                       buffered_.end(),
+                       [](const auto& aOne, const auto& aOther) {
+                         return aOne.second < aOther.second;
+                       });
+    NoteLimit(gpLinkLimitKind::Memory);
+    const auto session = sessions_.at(largest->first);
+    session->Fail(gpErrorCode::LinkMemoryFull);
+  }
+}
+
+void
+gpLinkService::Impl::NoteLimit(gpLinkLimitKind aLimit)
+{
+  if (handlers_.limitReached_) {
+    handlers_.limitReached_(aLimit);
+  }
+}
+
 void
 gpLinkService::Impl::OnLinkClosed(gpLinkSession& aSession, gpErrorCode aCode)
 {
@@ -295,6 +363,9 @@
 {
   const gpLinkId link = aSession.GetId();
   sessions_.erase(link);
+  handshakes_.erase(link);
+  const auto buffered = buffered_.extract(link);
+  bufferedBytes_ -= buffered.empty() ? 0 : buffered.mapped();
   const auto accepted = accepted_.find(aSession.GetPeer().incarnation_);
   if (accepted != accepted_.end() && accepted->second == link) {
     accepted_.erase(accepted);
--- a/Source/Runtime/gpLinkService.h
+++ b/Source/Runtime/gpLinkService.h
@@ -28,6 +28,15 @@
   /// Most bytes that may be queued to be sent on one link; over it the link is
   /// closed (SendBufferFull).
   std::size_t sendBytes_ = 256U << 20U;
+  /// Most bytes of frames that all links together hold until they are sent, or
+  /// received completely. Over it the link with the most is closed
+  /// (LinkMemoryFull).
+  std::size_t memoryBytes_ = 512U << 20U;
+  /// Accepted connections whose handshake is in progress. A further one takes
+  /// the place of the one that was accepted first.
+  std::size_t handshakes_ = 128;
+  /// Accepted links that are up. Further ones are closed.
+  std::size_t acceptedLinks_ = 1024;
   /// An empty frame is sent on a link on which nothing has been sent for this
   /// long.
   gpMillis heartbeat_{ 1000 };
@@ -40,6 +49,14 @@
   gpMillis redial_{ 200 };
 };
 
+/// A limit on all links together that has been reached.
+enum class gpLinkLimitKind
+{
+  Handshakes,    ///< gpLinkSettings::handshakes_
+  AcceptedLinks, ///< gpLinkSettings::acceptedLinks_
+  Memory,        ///< gpLinkSettings::memoryBytes_
+};
+
 /** \class gpLinkCounts
  * \brief Traffic of all links since the service was created.
  */
@@ -89,6 +106,9 @@
     std::function<void(const gpAddress&, gpErrorCode)> dialFailed_;
     /// The peer violated the protocol; its connection is closed. May be empty.
     std::function<void(gpErrorCode)> badInput_{};
+    /// A connection was closed because of a limit on all links together. May be
+    /// empty.
+    std::function<void(gpLinkLimitKind)> limitReached_{};
   };
 
   gpLinkService(gpEventLoop& aLoop,
--- a/Source/Runtime/gpLinkSession.cxx
+++ b/Source/Runtime/gpLinkSession.cxx
@@ -70,6 +70,11 @@
       self->observer_.OnLinkWritten(*self);
     }
   };
+  handlers.buffered_ = [weak]() {
+    if (const auto self = weak.lock()) {
+      self->observer_.OnLinkBuffered(*self);
+    }
+  };
   handlers.closed_ = [weak](gpErrorCode aCode) {
     if (const auto self = weak.lock()) {
       self->Fail(aCode);
@@ -161,6 +166,9 @@
   if (dialed_) {
     SendHello(hello->nonce_);
   }
+  if (state_ == State::Closed) {
+    return; // the memory of all links together has run out
+  }
   connection_->SetPayloadLimit(context_.settings_.frameBytes_);
   state_ = State::Up;
   wasUp_ = true;
--- a/Source/Runtime/gpLinkSession.h
+++ b/Source/Runtime/gpLinkSession.h
@@ -28,6 +28,8 @@
   virtual void OnLinkMessage(gpLinkSession& aSession, gpMessage aMessage) = 0;
   /// Bytes have been passed to the operating system.
   virtual void OnLinkWritten(gpLinkSession& aSession) = 0;
+  /// The link's connection buffers more bytes than before, or fewer.
+  virtual void OnLinkBuffered(gpLinkSession& aSession) = 0;
   /// The link has failed, for this reason. No other call follows for the
   /// session. Not called after gpLinkSession::Close.
   virtual void OnLinkClosed(gpLinkSession& aSession, gpErrorCode aCode) = 0;
@@ -72,6 +74,8 @@
   void SendQueued();
   /// Closes the link; the observer isn't called for it, nor afterwards.
   void Close();
+  /// Closes the link for this reason, and tells the observer.
+  void Fail(gpErrorCode aCode);
 
   gpLinkId GetId() const { return id_; }
   const std::optional<gpAddress>& GetDialed() const { return dialed_; }
@@ -103,7 +107,6 @@
   void Arm(gpTime aWhen);
   void OnTimer();
   void OnHeartbeatTimer(gpTime aNow);
-  void Fail(gpErrorCode aCode);
 
   gpLinkId id_;
   std::optional<gpAddress> dialed_;
--- a/Tests/Runtime/testLinkFaults.cxx
+++ b/Tests/Runtime/testLinkFaults.cxx
@@ -234,3 +234,54 @@
   test.acceptor_.service_.Send(test.acceptor_.ups_[1].link_, start);
   test.CheckOnlyRawClosed(gpErrorCode::SendBufferFull);
 }
+
+BOOST_AUTO_TEST_CASE(AFurtherHandshakeTakesThePlaceOfTheFirst)
+{
+  gpEventLoop loop;
+  gpLinkSettings settings;
+  settings.handshakes_ = 1;
+  gpLinkPeer acceptor(loop, 1, settings);
+  const gpAddress address = acceptor.Listen();
+  gpRawLink silent(loop);
+  silent.Connect(address);
+  silent.ReadHello();
+  gpRawLink second(loop);
+  second.Connect(address);
+  silent.WaitForClose();
+  second.ShakeHands(2);
+  gpRunUntil(loop, [&]() { return acceptor.ups_.size() == 1; });
+}
+
+BOOST_AUTO_TEST_CASE(LinksOverTheLimitAreClosed)
+{
+  gpEventLoop loop;
+  gpLinkSettings settings;
+  settings.acceptedLinks_ = 1;
+  gpLinkPeer acceptor(loop, 1, settings);
+  const gpAddress address = acceptor.Listen();
+  gpRawLink first(loop);
+  first.Connect(address);
+  first.ShakeHands(2);
+  gpRunUntil(loop, [&]() { return acceptor.ups_.size() == 1; });
+  gpRawLink second(loop);
+  second.Connect(address);
+  second.ShakeHands(3);
+  second.WaitForClose();
+  BOOST_TEST(acceptor.ups_.size() == 1U);
+  BOOST_TEST(acceptor.downs_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(TheLinkWithTheLargestBufferIsClosedWhenMemoryRunsOut)
+{
+  gpLinkSettings settings;
+  settings.memoryBytes_ = 1U << 20U;
+  RawAndHealthyLink test(settings);
+  test.ShakeHands();
+  constexpr std::uint32_t kAnnounced = 4U << 20U;
+  std::string frame;
+  for (unsigned byte = 0; byte < sizeof(kAnnounced); ++byte) {
+    frame.push_back(static_cast<char>(kAnnounced >> (8 * byte)));
+  }
+  test.raw_.SendBytes(frame + std::string(2U << 20U, 'x'));
+  test.CheckOnlyRawClosed(gpErrorCode::LinkMemoryFull);
+}
