Server: Bound what all connections of a port keep together

What callers saw: bodies that don't end, 16 of 16 MB or 2,700 of 60 KB, headers of tiny fields, answers that aren't read and requests sent ahead brought a process to 143 to 746 MB, at each port; 3,200 idle connections took more descriptors than the smallest entry has, and beside unread answers an ordinary job was refused for 20 s.

Cause: there were limits for one connection only, and the largest body (16 MB) times the connections (4,096) is 400 times the memory of a machine. Nothing counted all of them.

Now a server counts what each connection keeps for its caller: parts of requests, the memory reserved for announced bodies, the fields of headers, requests that aren't answered and answers that aren't read. Over the limit of all, the connection that has waited for its caller the longest is closed, and a further connection takes its place likewise; one whose request is handled never is. If that isn't enough the request is refused: 503, not run, come back in a second. Refusing the newcomer instead would let a crowd keep ordinary callers out at no cost. Each port has its own, so that a crowd at one doesn't take the room of another. clients_limited is logged, twice a second at most, and counted.

--- a/Source/Configuration/gpLeaseSettingsFile.cxx
+++ b/Source/Configuration/gpLeaseSettingsFile.cxx
@@ -2,6 +2,7 @@
 
 #include <cmath>
 
+#include "gpClientLimitsReader.h"
 #include "gpJsonReader.h"
 
 namespace {
@@ -10,6 +11,8 @@
 constexpr gpNumberRange kPartitions = { 1, 1000 };
 constexpr gpNumberRange kGraceMs = { 100, 3600000 };
 constexpr gpNumberRange kPort = { 1, 65535 };
+/// From the most tasks of one job.
+constexpr gpNumberRange kTasks = { 10000, 10000000 };
 constexpr double kMaxCores = 1024;
 constexpr double kMilliCoresPerCore = 1000;
 
@@ -43,6 +46,18 @@
   aObject.Finish();
 }
 
+void
+ReadLimits(gpJsonObject aObject, gpRole aRole, gpClientLimits& aLimits)
+{
+  if (aRole == gpRole::Entry) {
+    aObject.Number("tasks", aLimits.tasks_, kTasks);
+  } else {
+    aLimits = kGuardClientLimits;
+  }
+  gpReadClientLimits(aObject, aLimits);
+  aObject.Finish();
+}
+
 void
 ReadEntry(gpJsonObject& aRoot, gpLeaseSettings& aSettings)
 {
@@ -93,6 +108,7 @@
   eventLog.Text("file", aSettings.eventLog_, kNonEmptyRule);
   eventLog.Finish();
   aRoot.Millis("grace_ms", aSettings.grace_, kGraceMs);
+  ReadLimits(aRoot.Object("limits"), aRole, aSettings.limits_);
   if (aRole == gpRole::Entry) {
     ReadEntry(aRoot, aSettings);
   } else {
--- a/Source/Configuration/gpSettingsFile.cxx
+++ b/Source/Configuration/gpSettingsFile.cxx
@@ -1,5 +1,6 @@
 #include "gpSettingsFile.h"
 
+#include "gpClientLimitsReader.h"
 #include "gpJsonReader.h"
 
 namespace {
@@ -77,6 +78,9 @@
   eventLog.Text("file", aSettings.eventLog_, kNonEmptyRule);
   eventLog.Finish();
   ReadTimings(aRoot.Object("timings"), aSettings.timings_);
+  gpJsonObject limits = aRoot.Object("limits");
+  gpReadClientLimits(limits, aSettings.limits_);
+  limits.Finish();
 }
 
 void
--- a/Source/Entry/gpEntryProcess.cxx
+++ b/Source/Entry/gpEntryProcess.cxx
@@ -28,6 +28,7 @@
   options.logService_ = aSettings.logService_;
   options.eventLog_ = aSettings.eventLog_;
   options.timings_ = aSettings.timings_;
+  options.limits_ = aSettings.limits_;
   return options;
 }
 
--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -5,6 +5,7 @@
 #include "gpEntryRecord.h"
 #include "gpError.h"
 #include "gpLeaseLogEvents.h"
+#include "gpServerLimits.h"
 
 namespace {
 
@@ -39,14 +40,15 @@
   , jobPort_(std::move(aJobs))
   , store_(aMakeStore(httpClient_))
   , callerServer_(loop_,
-                  gpHttpLimits{},
+                  gpMakeClientPortLimits(aSettings.limits_),
                   { [this](gpRequestId aRequest, const gpHttpRequest& aHttp) {
                      OnRequest(aRequest, aHttp);
                    },
                     [this](gpRequestId aRequest) {
                       receivedAt_.erase(aRequest);
                       Reduce(gpCallerDisconnected{ aRequest });
-                    } })
+                    },
+                    MakeLimitHandler("callers") })
   , configurationFollower_(
       timers_,
       *store_,
--- a/Source/Guard/gpGuardProcess.cxx
+++ b/Source/Guard/gpGuardProcess.cxx
@@ -25,6 +25,7 @@
   options.logService_ = aSettings.logService_;
   options.eventLog_ = aSettings.eventLog_;
   options.timings_ = aSettings.timings_;
+  options.limits_ = aSettings.limits_;
   return options;
 }
 
--- a/Source/Guard/gpLeaseGuardProcess.cxx
+++ b/Source/Guard/gpLeaseGuardProcess.cxx
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "gpLeaseLogEvents.h"
+#include "gpServerLimits.h"
 #include "gpTargetRecord.h"
 
 namespace {
@@ -38,11 +39,12 @@
       [this](const absl::Status& aStatus) { WriteStoreFailure(aStatus); })
   , heartbeatServer_(
       loop_,
-      gpHttpLimits{},
+      gpMakeClientPortLimits(aSettings.limits_),
       { [this](gpRequestId aRequest, const gpHttpRequest& aHttp) {
          OnRequest(aRequest, aHttp);
        },
-        [](gpRequestId) {} })
+        [](gpRequestId) {},
+        MakeLimitHandler("target") })
 {
 }
 
--- a/Source/Model/gpLeaseSettings.h
+++ b/Source/Model/gpLeaseSettings.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "gpClientLimits.h"
 #include "gpIds.h"
 #include "gpProcessSettings.h"
 #include "gpTime.h"
@@ -46,4 +47,5 @@
   std::string eventLog_ = "-";
   /// Time between the request to stop (SIGTERM) and the kill by the platform.
   gpMillis grace_{ 6000 };
+  gpClientLimits limits_ = kEntryClientLimits;
 };
--- a/Source/Model/gpProcessSettings.h
+++ b/Source/Model/gpProcessSettings.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "gpClientLimits.h"
 #include "gpIds.h"
 #include "gpTime.h"
 
@@ -58,6 +59,7 @@
   /// File of the event log; "-" is the standard output.
   std::string eventLog_ = "-";
   gpTimings timings_;
+  gpClientLimits limits_ = kOwnInterfaceLimits;
 };
 
 /** \class gpGuardSettings
@@ -80,4 +82,5 @@
   /// File of the event log; "-" is the standard output.
   std::string eventLog_ = "-";
   gpTimings timings_;
+  gpClientLimits limits_ = kOwnInterfaceLimits;
 };
--- a/Source/Model/gpTimelineEvent.cxx
+++ b/Source/Model/gpTimelineEvent.cxx
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 46> kKindNames = {
+constexpr std::array<std::string_view, 47> kKindNames = {
   "process_started",
   "listening",
   "process_stopping",
@@ -52,6 +52,7 @@
   "task_suspected",
   "queue_contained",
   "queue_released",
+  "clients_limited",
 };
 
 static_assert(kKindNames.size() ==
--- a/Source/Model/gpTimelineEvent.h
+++ b/Source/Model/gpTimelineEvent.h
@@ -56,10 +56,11 @@
   TaskSuspected,  ///< the task may have crashed its target
   QueueContained, ///< tasks of the queue crash targets; it may use only a few
   QueueReleased,
+  ClientsLimited, ///< a limit on all clients together was reached; see detail_
 };
 
 /// The last kind, for loops over all kinds.
-constexpr gpEventKind kGpLastEventKind = gpEventKind::QueueReleased;
+constexpr gpEventKind kGpLastEventKind = gpEventKind::ClientsLimited;
 
 /** \class gpTimelineEvent
  * \brief One event of the event log. The log adds the process and the time.
--- a/Source/Process/gpLeaseNode.cxx
+++ b/Source/Process/gpLeaseNode.cxx
@@ -5,6 +5,7 @@
 
 #include "gpLeaseSettingsFile.h"
 #include "gpLeaseTimings.h"
+#include "gpServerLimits.h"
 
 namespace {
 
@@ -38,6 +39,7 @@
   options.links_.silence_ = kLinkSilence;
   options.links_.connectTimeout_ = kConnectTimeout;
   options.links_.redial_ = kRedialPause;
+  gpSetLinkLimits(aSettings.limits_, options.links_);
   options.connections_ = kConnections;
   return options;
 }
@@ -49,8 +51,12 @@
                          gpLinkService::Handlers aLinks,
                          StatusHandlers aStatus)
   : gpNode(MakeNodeOptions(aSettings, aRole), std::move(aLinks))
-  , statusServer_(loop_, gpHttpLimits{}, MakeStatusHandlers(statusServer_))
-  , metricsServer_(loop_, gpHttpLimits{}, MakeStatusHandlers(metricsServer_))
+  , statusServer_(loop_,
+                  gpMakeStatusPortLimits(aSettings.limits_),
+                  MakeStatusHandlers(statusServer_, "status"))
+  , metricsServer_(loop_,
+                   gpMakeStatusPortLimits(aSettings.limits_),
+                   MakeStatusHandlers(metricsServer_, "metrics"))
   , settings_(aSettings)
   , statusHandlers_(std::move(aStatus))
 {
@@ -98,12 +104,13 @@
 }
 
 gpHttpServer::Handlers
-gpLeaseNode::MakeStatusHandlers(gpHttpServer& aServer)
+gpLeaseNode::MakeStatusHandlers(gpHttpServer& aServer, const char* aPurpose)
 {
   return { [this, &aServer](gpRequestId aRequest, const gpHttpRequest& aHttp) {
             aServer.Respond(aRequest, AnswerStatus(aHttp));
           },
-           [](gpRequestId) {} };
+           [](gpRequestId) {},
+           MakeLimitHandler(aPurpose) };
 }
 
 void
--- a/Source/Process/gpLeaseNode.h
+++ b/Source/Process/gpLeaseNode.h
@@ -73,7 +73,8 @@
 
 private:
   /// Serves readiness, status and metrics.
-  gpHttpServer::Handlers MakeStatusHandlers(gpHttpServer& aServer);
+  gpHttpServer::Handlers MakeStatusHandlers(gpHttpServer& aServer,
+                                            const char* aPurpose);
   gpHttpResponse AnswerStatus(const gpHttpRequest& aHttp);
   absl::Status ListenForStatus(gpHttpServer& aServer,
                                const char* aPurpose,
--- a/Source/Process/gpNode.cxx
+++ b/Source/Process/gpNode.cxx
@@ -7,6 +7,7 @@
 #include "gpBuildVersion.h"
 #include "gpError.h"
 #include "gpMessageName.h"
+#include "gpServerLimits.h"
 
 namespace {
 
@@ -17,6 +18,8 @@
 constexpr gpMillis kFlushPause{ 5 };
 /// Period in which the number of dropped events is logged.
 constexpr gpMillis kDroppedReportPeriod{ 1000 };
+/// Limit of the logged events about clients that are over a limit.
+constexpr std::uint32_t kLimitLinesPerSecond = 2;
 /// Longest logged text about invalid input, whose writer may be anybody.
 constexpr std::size_t kMaxBadInputBytes = 200;
 
@@ -52,8 +55,9 @@
            timers_,
            clock_,
            aOptions.links_,
-           AddBadInputHandler(std::move(aLinks)))
+           AddHandlers(std::move(aLinks)))
   , options_(std::move(aOptions))
+  , limitLines_(kLimitLinesPerSecond)
 {
   self_.role_ = options_.role_;
   self_.name_ = options_.name_;
@@ -211,6 +215,31 @@
   Write(event);
 }
 
+void
+gpNode::NoteLimit(const std::string& aPort, const char* aLimit)
+{
+  metrics_
+    .Counter("gypsumpoint_clients_limited_total",
+             "Connections closed and requests refused because of a limit on "
+             "all clients of a port together",
+             { { "port", aPort }, { "limit", aLimit } })
+    .Add();
+  if (limitLines_.Take(gpEventLoop::Now())) {
+    gpTimelineEvent event;
+    event.kind_ = gpEventKind::ClientsLimited;
+    event.detail_ = aPort + " " + aLimit;
+    Write(event);
+  }
+}
+
+std::function<void(gpHttpLimitKind)>
+gpNode::MakeLimitHandler(const std::string& aPort)
+{
+  return [this, aPort](gpHttpLimitKind aLimit) {
+    NoteLimit(aPort, gpLimitName(aLimit));
+  };
+}
+
 void
 gpNode::NoteLogHealth(const absl::Status& aStatus)
 {
@@ -237,8 +266,11 @@
 }
 
 gpLinkService::Handlers
-gpNode::AddBadInputHandler(gpLinkService::Handlers aHandlers)
+gpNode::AddHandlers(gpLinkService::Handlers aHandlers)
 {
+  aHandlers.limitReached_ = [this](gpLinkLimitKind aLimit) {
+    NoteLimit("links", gpLimitName(aLimit));
+  };
   aHandlers.badInput_ = [this](gpErrorCode aCode) { NoteBadInput(aCode); };
   return aHandlers;
 }
--- a/Source/Process/gpNode.h
+++ b/Source/Process/gpNode.h
@@ -9,6 +9,7 @@
 #include "gpEventLog.h"
 #include "gpEventLoop.h"
 #include "gpHttpClient.h"
+#include "gpHttpServer.h"
 #include "gpIds.h"
 #include "gpLamportClock.h"
 #include "gpLinkService.h"
@@ -59,6 +60,12 @@
   void NoteBadInput(gpErrorCode aCode);
   /// Likewise, with the start of the status's text, which names the field.
   void NoteBadInput(const absl::Status& aStatus);
+  /// Counts and logs that a limit on all clients of a port together has been
+  /// reached. Only some of the events are logged, as clients cause them.
+  void NoteLimit(const std::string& aPort, const char* aLimit);
+  /// A handler that does so for an HTTP server.
+  std::function<void(gpHttpLimitKind)> MakeLimitHandler(
+    const std::string& aPort);
   /// Logs whether the platform's store, or the log service, is available.
   void NoteLogHealth(const absl::Status& aStatus);
   /// Calls the handler at this time. Replaces the call set before, if any.
@@ -104,7 +111,7 @@
   void ScheduleLogFlush();
   /// Periodically logs how many events were dropped since the last report.
   void ReportDroppedEvents();
-  gpLinkService::Handlers AddBadInputHandler(gpLinkService::Handlers aHandlers);
+  gpLinkService::Handlers AddHandlers(gpLinkService::Handlers aHandlers);
 
   gpNodeOptions options_;
   gpPeer self_;
@@ -113,6 +120,7 @@
   /// By message type; null until the first message of the type is sent.
   std::array<gpCounter*, std::variant_size_v<gpMessage>> messageCounts_{};
   std::uint64_t droppedEvents_ = 0;
+  gpTokenBucket limitLines_;
   bool isFlushScheduled_ = false;
   bool stopping_ = false;
   std::map<gpLinkId, gpIncarnation> peers_;
--- a/Source/Process/gpProcess.cxx
+++ b/Source/Process/gpProcess.cxx
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "gpServerLimits.h"
+
 namespace {
 
 constexpr int kOk = 200;
@@ -31,6 +33,7 @@
   options.linkAdvertise_ = aOptions.linkAdvertise_;
   options.eventLog_ = aOptions.eventLog_;
   options.links_ = MakeLinkSettings(aOptions.timings_);
+  gpSetLinkLimits(aOptions.limits_, options.links_);
   options.connections_ = aConnections;
   return options;
 }
@@ -41,7 +44,9 @@
                      std::size_t aConnections,
                      Handlers aHandlers)
   : gpNode(MakeNodeOptions(aOptions, aConnections), std::move(aHandlers.links_))
-  , http_(loop_, gpHttpLimits{}, std::move(aHandlers.http_))
+  , http_(loop_,
+          gpMakeClientPortLimits(aOptions.limits_),
+          AddLimitHandler(std::move(aHandlers.http_)))
   , log_(loop_, timers_, httpClient_, aOptions.logService_)
   , streams_(timers_, log_, std::move(aHandlers.streams_))
   , rosterWriter_(timers_, log_, streams_)
@@ -49,6 +54,13 @@
 {
 }
 
+gpHttpServer::Handlers
+gpProcess::AddLimitHandler(gpHttpServer::Handlers aHandlers)
+{
+  aHandlers.limitReached_ = MakeLimitHandler("http");
+  return aHandlers;
+}
+
 absl::Status
 gpProcess::Open()
 {
--- a/Source/Process/gpProcess.h
+++ b/Source/Process/gpProcess.h
@@ -23,6 +23,7 @@
   gpAddress logService_;
   std::string eventLog_;
   gpTimings timings_;
+  gpClientLimits limits_;
 };
 
 /** \class gpProcess
@@ -71,6 +72,7 @@
   gpRosterWriter rosterWriter_;
 
 private:
+  gpHttpServer::Handlers AddLimitHandler(gpHttpServer::Handlers aHandlers);
   std::string RenderStatus(const std::string& aFields) const;
   void RequestUpdate(gpLinkId aLink);
   void AnswerUpdateRequest(gpLinkId aLink, const gpUpdateRequest& aRequest);
--- a/Source/Runtime/gpHttpRefusal.cxx
+++ b/Source/Runtime/gpHttpRefusal.cxx
@@ -11,8 +11,9 @@
 
 namespace {
 
-/// Delay that callers over the connection limit are asked to wait.
+/// Delay that callers over a limit of all connections are asked to wait.
 constexpr gpMillis kRetryAfter{ 1000 };
+constexpr int kUnavailable = 503;
 
 struct RefusalEntry
 {
@@ -27,7 +28,8 @@
   RefusalEntry{ 408, "request timeout", "bad_request" },
   RefusalEntry{ 413, "body too large", "request_too_large" },
   RefusalEntry{ 431, "header too large", "request_too_large" },
-  RefusalEntry{ 503, "too many connections", "queue_full" },
+  RefusalEntry{ kUnavailable, "too many connections", "queue_full" },
+  RefusalEntry{ kUnavailable, "too many requests at a time", "queue_full" },
 };
 
 } // namespace
@@ -44,7 +46,7 @@
   gpHttpResponse response;
   response.status_ = entry.status_;
   response.contentType_ = "application/problem+json";
-  if (aRefusal == gpHttpRefusal::TooManyConnections) {
+  if (entry.status_ == kUnavailable) {
     problem["retry_after_ms"] = kRetryAfter.count();
     response.headers_["retry-after"] = std::to_string(
       std::chrono::ceil<std::chrono::seconds>(kRetryAfter).count());
--- a/Source/Runtime/gpHttpRefusal.h
+++ b/Source/Runtime/gpHttpRefusal.h
@@ -10,6 +10,7 @@
   BodyTooLarge,       ///< 413: the body is over the limit
   HeaderTooLarge,     ///< 431: the header is over the limit
   TooManyConnections, ///< 503: the caller may try again later
+  TooMuchMemory,      ///< 503: the same; all requests together take too much
 };
 
 /// The response to a rejected request: the problem document that
--- a/Source/Runtime/gpHttpServer.cxx
+++ b/Source/Runtime/gpHttpServer.cxx
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <unordered_map>
 #include <utility>
-#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -13,6 +12,7 @@
 #include "gpEventLoop.h"
 #include "gpEventLoopContext.h"
 #include "gpHttpSession.h"
+#include "gpHttpSessionTable.h"
 
 namespace {
 
@@ -64,6 +64,8 @@
   }
 
   void OnRequest(gpHttpSession& aSession, gpHttpRequest aRequest) override;
+  void OnWaiting(gpHttpSession& aSession, bool aIsWaiting) override;
+  bool OnKept(gpHttpSession& aSession, std::size_t aBytes) override;
   void OnCallerDisconnected(gpHttpSession& aSession) override;
   void OnFinished(gpHttpSession& aSession) override;
   void OnClosed(gpHttpSession& aSession) override;
@@ -81,7 +83,10 @@
   /// Removes a request that is about to be answered; returns its session, or
   /// null if the caller has disconnected.
   std::shared_ptr<gpHttpSession> RemoveRequest(gpRequestId aRequest);
-  std::vector<std::shared_ptr<gpHttpSession>> GetSessions() const;
+  /// Closes the session that has waited for its caller the longest; returns
+  /// false if none waits.
+  bool MakeRoom();
+  void NoteLimit(gpHttpLimitKind aLimit);
 
   gpEventLoop& loop_;
   gpHttpLimits limits_;
@@ -89,7 +94,7 @@
   tcp::acceptor acceptor_;
   boost::asio::steady_timer acceptTimer_;
   boost::asio::steady_timer checkTimer_;
-  std::unordered_map<gpHttpSession*, std::shared_ptr<gpHttpSession>> sessions_;
+  gpHttpSessionTable sessions_;
   /// Requests that have not been answered.
   std::unordered_map<gpRequestId, gpHttpSession*> requests_;
   gpRequestId lastRequest_;
@@ -110,6 +115,27 @@
   handlers_.request_(request, std::move(aRequest));
 }
 
+void
+gpHttpServer::Impl::OnWaiting(gpHttpSession& aSession, bool aIsWaiting)
+{
+  sessions_.SetWaiting(aSession, aIsWaiting);
+}
+
+bool
+gpHttpServer::Impl::OnKept(gpHttpSession& aSession, std::size_t aBytes)
+{
+  sessions_.SetKept(aSession, aBytes);
+  while (sessions_.GetKept() > limits_.memoryBytes_) {
+    const auto other = sessions_.FindLongestWaitingKeeper(aSession);
+    NoteLimit(gpHttpLimitKind::Memory);
+    if (!other) {
+      return false;
+    }
+    other->Close();
+  }
+  return true;
+}
+
 void
 gpHttpServer::Impl::OnCallerDisconnected(gpHttpSession& aSession)
 {
@@ -130,7 +156,7 @@
 gpHttpServer::Impl::OnClosed(gpHttpSession& aSession)
 {
   requests_.erase(aSession.GetRequest());
-  sessions_.erase(&aSession);
+  sessions_.Remove(aSession);
 }
 
 absl::StatusOr<gpAddress>
@@ -200,14 +226,14 @@
 void
 gpHttpServer::Impl::AddSession(tcp::socket aSocket)
 {
-  const bool isFull = sessions_.size() >= limits_.connections_;
+  const bool isFull = sessions_.Count() >= limits_.connections_ && !MakeRoom();
   if (isFull &&
-      sessions_.size() >= limits_.connections_ + kMaxRefusedConnections) {
+      sessions_.Count() >= limits_.connections_ + kMaxRefusedConnections) {
     return;
   }
   const auto session = std::make_shared<gpHttpSession>(
     std::move(aSocket), limits_, weak_from_this());
-  sessions_.emplace(session.get(), session);
+  sessions_.Add(session);
   ++unfinished_;
   if (isFull) {
     session->Refuse(gpHttpRefusal::TooManyConnections);
@@ -219,6 +245,25 @@
   }
 }
 
+bool
+gpHttpServer::Impl::MakeRoom()
+{
+  NoteLimit(gpHttpLimitKind::Connections);
+  const auto session = sessions_.FindLongestWaiting();
+  if (session) {
+    session->Close();
+  }
+  return session != nullptr;
+}
+
+void
+gpHttpServer::Impl::NoteLimit(gpHttpLimitKind aLimit)
+{
+  if (handlers_.limitReached_) {
+    handlers_.limitReached_(aLimit);
+  }
+}
+
 /// Serves the connections that are established but still in the listen backlog,
 /// whose callers would otherwise be reset when the acceptor closes.
 void
@@ -249,7 +294,7 @@
 gpHttpServer::Impl::CheckDeadlines()
 {
   const gpTime now = gpEventLoop::Now();
-  for (const auto& session : GetSessions()) {
+  for (const auto& session : sessions_.GetAll()) {
     session->CheckDeadline(now);
   }
   ScheduleDeadlineCheck();
@@ -272,22 +317,11 @@
   acceptTimer_.cancel();
   checkTimer_.cancel();
   onDrained_ = nullptr;
-  for (const auto& session : GetSessions()) {
+  for (const auto& session : sessions_.GetAll()) {
     session->Close();
   }
 }
 
-std::vector<std::shared_ptr<gpHttpSession>>
-gpHttpServer::Impl::GetSessions() const
-{
-  std::vector<std::shared_ptr<gpHttpSession>> sessions;
-  sessions.reserve(sessions_.size());
-  for (const auto& [key, session] : sessions_) {
-    sessions.push_back(session);
-  }
-  return sessions;
-}
-
 std::shared_ptr<gpHttpSession>
 gpHttpServer::Impl::RemoveRequest(gpRequestId aRequest)
 {
@@ -295,7 +329,7 @@
   if (entry == requests_.end()) {
     return nullptr;
   }
-  auto session = sessions_.at(entry->second);
+  auto session = sessions_.Get(*entry->second);
   requests_.erase(entry);
   return session;
 }
@@ -356,7 +390,7 @@
   impl_->AcceptBacklog();
   error_code ignored;
   impl_->acceptor_.close(ignored);
-  for (const auto& session : impl_->GetSessions()) {
+  for (const auto& session : impl_->sessions_.GetAll()) {
     session->Drain();
   }
   impl_->CheckDrained();
--- a/Source/Runtime/gpHttpServer.h
+++ b/Source/Runtime/gpHttpServer.h
@@ -30,8 +30,23 @@
   /// Longest time that a connection may be idle between requests, or that
   /// writing a response may take.
   gpMillis idleTime_{ 60000 };
-  /// Connections that are served at a time; further ones are answered 503.
+  /// Connections that are served at a time. A further one takes the place of
+  /// the one that has waited for its caller the longest, or is answered 503 if
+  /// all wait for the answers to their requests.
   std::size_t connections_ = 4096;
+  /// Most bytes that all connections together keep for their callers: parts of
+  /// requests, requests that haven't been answered, and responses that haven't
+  /// been read. Over it, connections that wait for their callers are closed,
+  /// the longest waiting first; if that isn't enough, the request is answered
+  /// 503.
+  std::size_t memoryBytes_ = 64U << 20U;
+};
+
+/// A limit on all connections together that has been reached.
+enum class gpHttpLimitKind
+{
+  Connections, ///< gpHttpLimits::connections_
+  Memory,      ///< gpHttpLimits::memoryBytes_
 };
 
 /** \class gpHttpServer
@@ -51,6 +66,9 @@
     /// The caller has closed its connection before its request was answered.
     /// Not called after Respond or Abort. May be empty.
     std::function<void(gpRequestId)> callerDisconnected_;
+    /// A connection was closed or a request refused because of a limit on all
+    /// connections together. May be empty.
+    std::function<void(gpHttpLimitKind)> limitReached_{};
   };
 
   gpHttpServer(gpEventLoop& aLoop, gpHttpLimits aLimits, Handlers aHandlers);
--- a/Source/Runtime/gpHttpSession.cxx
+++ b/Source/Runtime/gpHttpSession.cxx
@@ -1,7 +1,9 @@
 #include "gpHttpSession.h"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <utility>
@@ -23,10 +25,13 @@
 using boost::system::error_code;
 using Parser = http::request_parser<http::string_body>;
 
-constexpr std::size_t kReadBufferBytes = 8U << 10U;
+/// Each connection has a buffer of this size, also an idle one.
+constexpr std::size_t kReadBufferBytes = 4U << 10U;
 /// Bytes of pipelined requests that are buffered while one is being handled. If
 /// a caller sends more, reading continues after the response.
-constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
+constexpr std::size_t kMaxPipelinedBytes = 16U << 10U;
+/// Memory that a field of a header takes besides its text.
+constexpr std::size_t kFieldBytes = 96;
 /// How long the session waits for the caller to close the connection after the
 /// last response.
 constexpr gpMillis kLingerTime{ 1000 };
@@ -97,6 +102,13 @@
   void Parse();
   void SendContinue();
   void HandleRequest();
+  void Refuse(gpHttpRefusal aRefusal);
+  std::size_t CountRequestBytes() const;
+  /// Tells the owner what is kept for the caller; returns false if all sessions
+  /// together keep too much.
+  bool ReportKept();
+  void ReportWaiting(bool aIsWaiting);
+  void CheckDeadline(gpTime aNow);
   void Write(gpHttpResponse aResponse, bool aKeep);
   void OnWritten(const error_code& aError, bool aKeep);
   void Linger();
@@ -115,12 +127,23 @@
   std::array<char, kReadBufferBytes> chunk_{};
   /// Received bytes that the parser has not consumed.
   std::string input_;
+  /// Not set before the first byte of a request.
   std::optional<Parser> parser_;
+  /// Size of the header of the request that is being read, once it's complete.
+  std::size_t headerBytes_ = 0;
+  /// Memory of the request that is being handled.
+  std::size_t handledBytes_ = 0;
   http::response<http::string_body> response_;
   bool reading_ = false;
+  /// Nothing is read before the next request is expected, as all sessions
+  /// together keep too much.
+  bool paused_ = false;
+  bool reportedWaiting_ = false;
   bool inputEnded_ = false;
   bool requestStarted_ = false;
   bool sentContinue_ = false;
+  /// No further request will be read; what still arrives is dropped.
+  bool dropsInput_ = false;
   bool keepAlive_ = false;
   bool isHead_ = false;
   bool draining_ = false;
@@ -133,13 +156,13 @@
   state_ = State::Reading;
   requestStarted_ = false;
   sentContinue_ = false;
-  parser_.emplace();
-  parser_->eager(true);
-  parser_->header_limit(static_cast<std::uint32_t>(limits_.headerBytes_));
-  parser_->body_limit(limits_.bodyBytes_);
+  paused_ = false;
+  ReportWaiting(true);
   SetDeadline(draining_ ? kDrainGracePeriod : limits_.idleTime_);
   if (!input_.empty()) {
     Parse();
+  } else {
+    ReportKept();
   }
   Read();
 }
@@ -149,7 +172,7 @@
 {
   const bool isBusy = state_ == State::Handling || state_ == State::Writing;
   const bool isFull = isBusy && input_.size() >= kMaxPipelinedBytes;
-  if (reading_ || inputEnded_ || isFull || state_ == State::Closed) {
+  if (reading_ || inputEnded_ || isFull || paused_ || state_ == State::Closed) {
     return;
   }
   reading_ = true;
@@ -171,11 +194,13 @@
     OnReadEnd();
     return;
   }
-  if (state_ != State::Lingering) {
+  if (!dropsInput_) {
     input_.append(chunk_.data(), aBytes);
   }
   if (state_ == State::Reading) {
     Parse();
+  } else {
+    paused_ = !ReportKept();
   }
   Read();
 }
@@ -201,16 +226,27 @@
   if (!requestStarted_) {
     requestStarted_ = true;
     SetDeadline(limits_.requestTime_);
+    headerBytes_ = 0;
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(static_cast<std::uint32_t>(limits_.headerBytes_));
+    parser_->body_limit(limits_.bodyBytes_);
   }
   error_code error;
+  const bool wasHeaderDone = parser_->is_header_done();
   const std::size_t used = parser_->put(boost::asio::buffer(input_), error);
   input_.erase(0, used);
+  if (!wasHeaderDone) {
+    headerBytes_ = std::min(used, limits_.headerBytes_);
+  }
   if (error && error != http::error::need_more) {
-    Write(gpRefuseRequest(ToRefusal(error)), false);
+    Refuse(ToRefusal(error));
   } else if (!parser_->is_done() && input_.size() > limits_.headerBytes_) {
     // The parser takes trailers, and the size and extensions of a chunk, only
     // when they are complete. Its limits don't hold for them.
-    Write(gpRefuseRequest(gpHttpRefusal::HeaderTooLarge), false);
+    Refuse(gpHttpRefusal::HeaderTooLarge);
+  } else if (!ReportKept()) {
+    Refuse(gpHttpRefusal::TooMuchMemory);
   } else if (parser_->is_done()) {
     HandleRequest();
   } else if (parser_->is_header_done()) {
@@ -218,6 +254,44 @@
   }
 }
 
+void
+gpHttpSession::Impl::Refuse(gpHttpRefusal aRefusal)
+{
+  Write(gpRefuseRequest(aRefusal), false);
+}
+
+std::size_t
+gpHttpSession::Impl::CountRequestBytes() const
+{
+  if (!parser_.has_value() || !parser_->is_header_done()) {
+    return 0;
+  }
+  const auto& message = parser_->get();
+  const auto fields = std::distance(message.begin(), message.end());
+  return headerBytes_ + static_cast<std::size_t>(fields) * kFieldBytes +
+         message.body().capacity();
+}
+
+bool
+gpHttpSession::Impl::ReportKept()
+{
+  const auto owner = owner_.lock();
+  return !owner || session_ == nullptr ||
+         owner->OnKept(*session_,
+                       input_.size() + CountRequestBytes() + handledBytes_ +
+                         response_.body().size());
+}
+
+void
+gpHttpSession::Impl::ReportWaiting(bool aIsWaiting)
+{
+  const auto owner = owner_.lock();
+  if (std::exchange(reportedWaiting_, aIsWaiting) != aIsWaiting && owner &&
+      session_ != nullptr) {
+    owner->OnWaiting(*session_, aIsWaiting);
+  }
+}
+
 void
 gpHttpSession::Impl::SendContinue()
 {
@@ -239,10 +313,13 @@
 gpHttpSession::Impl::HandleRequest()
 {
   state_ = State::Handling;
+  ReportWaiting(false);
   deadline_ = gpTime::max();
   keepAlive_ = parser_->keep_alive();
   isHead_ = parser_->get().method() == http::verb::head;
+  handledBytes_ = CountRequestBytes();
   gpHttpRequest request = ToRequest(parser_->release());
+  parser_.reset();
   const auto owner = owner_.lock();
   if (owner && session_ != nullptr) {
     owner->OnRequest(*session_, std::move(request));
@@ -254,6 +331,13 @@
 {
   state_ = State::Writing;
   SetDeadline(limits_.idleTime_);
+  parser_.reset();
+  handledBytes_ = 0;
+  if (!aKeep) {
+    dropsInput_ = true;
+    paused_ = false;
+    input_ = {};
+  }
   response_ = {};
   response_.version(11);
   response_.result(static_cast<unsigned>(aResponse.status_));
@@ -266,6 +350,8 @@
   if (!isHead_) {
     response_.body() = std::move(aResponse.body_);
   }
+  ReportWaiting(false);
+  ReportKept();
   http::async_write(socket_,
                     response_,
                     [self = shared_from_this(), aKeep](const error_code& aError,
@@ -277,6 +363,7 @@
 void
 gpHttpSession::Impl::OnWritten(const error_code& aError, bool aKeep)
 {
+  response_ = {};
   if (state_ == State::Closed) {
     return;
   }
@@ -295,7 +382,10 @@
 gpHttpSession::Impl::Linger()
 {
   state_ = State::Lingering;
-  input_.clear();
+  dropsInput_ = true;
+  paused_ = false;
+  input_ = {};
+  ReportKept();
   error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
   ReportFinished();
@@ -325,6 +415,9 @@
   state_ = State::Closed;
   error_code ignored;
   socket_.close(ignored);
+  // The pending operations, which end later, keep the rest of this object.
+  parser_.reset();
+  input_ = {};
   ReportFinished();
   const auto owner = owner_.lock();
   if (owner && session_ != nullptr) {
@@ -332,6 +425,23 @@
   }
 }
 
+void
+gpHttpSession::Impl::CheckDeadline(gpTime aNow)
+{
+  if (state_ == State::Writing || state_ == State::Lingering) {
+    // Callers usually read a response before the first check.
+    ReportWaiting(true);
+  }
+  if (aNow < deadline_) {
+    return;
+  }
+  if (state_ == State::Reading && requestStarted_) {
+    Refuse(gpHttpRefusal::TooSlow);
+  } else {
+    Close();
+  }
+}
+
 gpHttpSession::gpHttpSession(tcp::socket aSocket,
                              const gpHttpLimits& aLimits,
                              std::weak_ptr<gpHttpSessionOwner> aOwner)
@@ -359,7 +469,7 @@
 void
 gpHttpSession::Refuse(gpHttpRefusal aRefusal)
 {
-  impl_->Write(gpRefuseRequest(aRefusal), false);
+  impl_->Refuse(aRefusal);
   impl_->Read();
 }
 
@@ -401,12 +511,5 @@
 void
 gpHttpSession::CheckDeadline(gpTime aNow)
 {
-  if (aNow < impl_->deadline_) {
-    return;
-  }
-  if (impl_->state_ == State::Reading && impl_->requestStarted_) {
-    impl_->Write(gpRefuseRequest(gpHttpRefusal::TooSlow), false);
-  } else {
-    impl_->Close();
-  }
+  impl_->CheckDeadline(aNow);
 }
--- a/Source/Runtime/gpHttpSession.h
+++ b/Source/Runtime/gpHttpSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <memory>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -22,6 +23,12 @@
 
   /// A complete request has arrived. The owner calls SetRequest to number it.
   virtual void OnRequest(gpHttpSession& aSession, gpHttpRequest aRequest) = 0;
+  /// The session waits for its caller from now on, or no longer does: for a
+  /// request, for the rest of one, or until the caller has read a response.
+  virtual void OnWaiting(gpHttpSession& aSession, bool aIsWaiting) = 0;
+  /// The session keeps this many bytes for its caller from now on. Returns
+  /// false if all sessions together keep too many.
+  virtual bool OnKept(gpHttpSession& aSession, std::size_t aBytes) = 0;
   /// The caller has closed its connection before its request was answered.
   virtual void OnCallerDisconnected(gpHttpSession& aSession) = 0;
   /// The session will neither receive nor answer further requests. Called once.
--- a/Tests/Configuration/testSettingsFile.cxx
+++ b/Tests/Configuration/testSettingsFile.cxx
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "gpError.h"
+#include "gpLeaseSettingsFile.h"
 #include "gpSettingsFile.h"
 
 namespace {
@@ -85,4 +86,61 @@
   BOOST_TEST(!gpParseEntrySettings("e.json", "").ok());
 }
 
+BOOST_AUTO_TEST_CASE(ReadsTheLimitsOfClients)
+{
+  const auto usual = gpParseEntrySettings("entry.json", Settings("", ""));
+  BOOST_REQUIRE(usual.ok());
+  BOOST_TEST(usual->limits_.bodyBytes_ == kOwnInterfaceLimits.bodyBytes_);
+  const auto entry = gpParseEntrySettings("entry.json", Settings("", R"(,
+    "limits": {"connections": 9, "body_bytes": 2048, "memory_bytes": 65536,
+               "descriptors": 300.5})"));
+  BOOST_REQUIRE_MESSAGE(entry.ok(), gpErrorText(entry.status()));
+  BOOST_TEST(entry->limits_.descriptors_ == 300U);
+  BOOST_TEST(entry->limits_.connections_ == 9U);
+  BOOST_TEST(entry->limits_.bodyBytes_ == 2048U);
+  BOOST_TEST(entry->limits_.memoryBytes_ == 65536U);
+}
+
+// A limit of all that is smaller than the limit of one would refuse a request
+// that is within the limits also when it's alone.
+BOOST_AUTO_TEST_CASE(RejectsLimitsThatNoRequestFitsInto)
+{
+  const auto entry = gpParseEntrySettings("entry.json", Settings("", R"(,
+    "limits": {"body_bytes": 1000000, "memory_bytes": 1000000,
+               "frame_bytes": 1000000, "link_memory_bytes": 1000000,
+               "connections": 0, "tasks": 20000})"));
+  BOOST_REQUIRE((gpErrorCodeOf(entry.status()) == gpErrorCode::BadSettings));
+  const std::string text = gpErrorText(entry.status());
+  for (const char* field :
+       { "memory_bytes", "link_memory_bytes", "connections", "tasks" }) {
+    BOOST_TEST(text.find(std::string("limits/") + field) != std::string::npos);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReadsTheLimitsOfBestEffortJobs)
+{
+  const std::string common = R"({"name": "n",
+    "site": {"region": "r", "data_centre": "dc"},
+    "links": {"listen": "127.0.0.1:0"}, "status": {"listen": "127.0.0.1:0"},
+    "store": {"address": "127.0.0.1:9000"}, )";
+  const std::string target = R"("target": {"address": "127.0.0.1:9001",
+    "listen": "127.0.0.1:0", "service": "s"})";
+  const auto entry = gpParseLeaseSettings(
+    "e",
+    common +
+      R"("callers": {"listen": "127.0.0.1:0"}, "limits": {"tasks": 20000}})",
+    gpRole::Entry);
+  BOOST_REQUIRE_MESSAGE(entry.ok(), gpErrorText(entry.status()));
+  BOOST_TEST(entry->limits_.tasks_ == 20000U);
+  BOOST_TEST(entry->limits_.connections_ == kEntryClientLimits.connections_);
+  const auto guard =
+    gpParseLeaseSettings("g", common + target + "}", gpRole::Guard);
+  BOOST_REQUIRE_MESSAGE(guard.ok(), gpErrorText(guard.status()));
+  BOOST_TEST(guard->limits_.connections_ == kGuardClientLimits.connections_);
+  // Only entries have tasks.
+  const auto other = gpParseLeaseSettings(
+    "g", common + target + R"(, "limits": {"tasks": 20000}})", gpRole::Guard);
+  BOOST_TEST(!other.ok());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Runtime/testHttpServer.cxx
+++ b/Tests/Runtime/testHttpServer.cxx
@@ -54,7 +54,8 @@
           ids_.push_back(aId);
           requests_.push_back(aRequest);
         },
-        [this](gpRequestId aId) { disconnected_.push_back(aId); } });
+        [this](gpRequestId aId) { disconnected_.push_back(aId); },
+        [this](gpHttpLimitKind aLimit) { limits_.push_back(aLimit); } });
     address_ = *server_->Listen(gpAddress("127.0.0.1:0"));
   }
 
@@ -76,6 +77,7 @@
   std::vector<gpRequestId> ids_;
   std::vector<gpHttpRequest> requests_;
   std::vector<gpRequestId> disconnected_;
+  std::vector<gpHttpLimitKind> limits_;
 };
 
 gpHttpLimits
@@ -280,6 +282,111 @@
   BOOST_TEST(first.ReadUntil("first").ends_with("first"));
 }
 
+BOOST_AUTO_TEST_CASE(AFurtherConnectionTakesThePlaceOfTheLongestWaiting)
+{
+  gpHttpLimits limits;
+  limits.connections_ = 2;
+  Fixture fixture(limits);
+  gpRawCaller busy(fixture.loop_, fixture.address_);
+  busy.Send(kGet);
+  fixture.AwaitRequests(1);
+  gpRawCaller idle(fixture.loop_, fixture.address_);
+  gpRawCaller third(fixture.loop_, fixture.address_);
+  third.Send(kGet);
+  fixture.AwaitRequests(2);
+  BOOST_TEST(idle.ReadToEnd().empty());
+  BOOST_TEST((fixture.limits_ == std::vector{ gpHttpLimitKind::Connections }));
+  // The one that has a request is never closed.
+  fixture.server_->Respond(fixture.ids_[0], Answer("busy"));
+  BOOST_TEST(busy.ReadUntil("busy").ends_with("busy"));
+  fixture.server_->Respond(fixture.ids_[1], Answer("third"));
+  BOOST_TEST(third.ReadUntil("third").ends_with("third"));
+}
+
+namespace {
+
+/// Limits that one request of kMostBody bytes fits into, but not two.
+constexpr std::size_t kMostBody = 100'000;
+/// What the header of a request and requests sent ahead may take besides.
+constexpr std::size_t kHeaderRoom = 33'000;
+
+gpHttpLimits
+LittleMemory()
+{
+  gpHttpLimits limits;
+  limits.bodyBytes_ = kMostBody;
+  limits.memoryBytes_ = kMostBody + kHeaderRoom;
+  return limits;
+}
+
+struct LittleMemoryFixture : Fixture
+{
+  LittleMemoryFixture()
+    : Fixture(LittleMemory())
+  {
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(TheLongestWaitingIsClosedWhenMemoryRunsOut,
+                        LittleMemoryFixture)
+{
+  const std::string request = Post(std::string(kMostBody, 'x'));
+  gpRawCaller slow(loop_, address_);
+  slow.Send(request.substr(0, request.size() - 1));
+  gpRawCaller idle(loop_, address_);
+  gpRawCaller quick(loop_, address_);
+  quick.Send(request);
+  AwaitRequests(1);
+  BOOST_TEST(requests_[0].body_.size() == kMostBody);
+  BOOST_TEST(slow.ReadToEnd().empty());
+  BOOST_TEST(!limits_.empty());
+  BOOST_TEST((limits_[0] == gpHttpLimitKind::Memory));
+  // A connection that keeps nothing isn't closed for memory.
+  server_->Respond(ids_[0], Answer("quick"));
+  BOOST_TEST(quick.ReadUntil("quick").ends_with("quick"));
+  idle.Send(kGet);
+  AwaitRequests(2);
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestIsRefusedWhenOthersTakeAllMemory,
+                        LittleMemoryFixture)
+{
+  const std::string request = Post(std::string(kMostBody, 'x'));
+  gpRawCaller first(loop_, address_);
+  first.Send(request);
+  AwaitRequests(1);
+  const std::string refusal = ReadRefusal(request);
+  BOOST_TEST(StatusLine(refusal) == "HTTP/1.1 503 Service Unavailable");
+  BOOST_TEST(refusal.find("\"outcome\":\"not_run\"") != std::string::npos);
+  BOOST_TEST(refusal.find("retry-after: 1\r\n") != std::string::npos);
+  // When the first one has been answered, there's room again.
+  server_->Respond(ids_[0], Answer("first"));
+  BOOST_TEST(first.ReadUntil("first").ends_with("first"));
+  gpRawCaller again(loop_, address_);
+  again.Send(request);
+  AwaitRequests(2);
+}
+
+// Requests that are sent ahead while another one is handled count too, and
+// aren't read on when memory runs out; the one that is handled goes on.
+BOOST_FIXTURE_TEST_CASE(RequestsSentAheadAreBounded, LittleMemoryFixture)
+{
+  gpRawCaller caller(loop_, address_);
+  caller.Send(kGet);
+  AwaitRequests(1);
+  const std::string request = Post(std::string(kMostBody, 'x'));
+  caller.Send(request + request);
+  server_->Respond(ids_[0], Answer("one"));
+  BOOST_TEST(caller.ReadUntil("one").ends_with("one"));
+  AwaitRequests(2);
+  server_->Respond(ids_[1], Answer("two"));
+  BOOST_TEST(caller.ReadUntil("two").ends_with("two"));
+  AwaitRequests(3);
+  BOOST_TEST(requests_[2].body_.size() == kMostBody);
+}
+
 BOOST_FIXTURE_TEST_CASE(DrainSendsCompleteAnswers, Fixture)
 {
   gpRawCaller caller(loop_, address_);
