Entry: Bound the tasks of all jobs together

What callers saw: a hundred submissions of some 4 KB each, of 10,000 tasks with no estimate of their run time, brought an entry to 300 MB.

Cause: a task takes some 300 bytes, its place in the queue more, and only the predicted wait refuses a job. Tasks of which the caller says that they take no time predict none.

--- a/Source/Entry/gpLeaseEntryProcess.cxx
+++ b/Source/Entry/gpLeaseEntryProcess.cxx
@@ -83,6 +83,7 @@
   options.self_ = MakeSelf();
   options.firstRun_ = FirstNumber();
   options.shutdown_ = GetShutdownTime();
+  options.mostTasks_ = settings_.limits_.tasks_;
   reducer_ = std::make_unique<gpLeaseEntryReducer>(std::move(options));
   loop_.OnTerminate([this] { Reduce(gpShutdownRequested{}); });
   const auto callers = callerServer_.Listen(settings_.callersListen_);
@@ -319,6 +320,9 @@
   if (answer == nullptr) {
     return; // an effect that only guards have
   }
+  if (answer->answer_.reason_ == gpLeaseReason::TooManyTasks) {
+    NoteLimit("callers", "tasks");
+  }
   const auto received = receivedAt_.find(answer->request_);
   if (received != receivedAt_.end()) {
     metrics_
--- a/Source/Lease/gpLeaseAdmission.cxx
+++ b/Source/Lease/gpLeaseAdmission.cxx
@@ -163,6 +163,14 @@
            std::clamp(PredictWait(aJob), shortest, kLongestRetry) };
 }
 
+gpLeaseAnswer
+gpLeaseAdmission::RefuseTooManyTasks()
+{
+  return { gpLeaseOutcome::NotRun,
+           gpLeaseReason::TooManyTasks,
+           kShortestRetry };
+}
+
 gpPlacementNeed
 gpLeaseAdmission::NeedOf(const gpLeaseRecord& aJob,
                          const gpJobStep& aStep,
--- a/Source/Lease/gpLeaseAdmission.h
+++ b/Source/Lease/gpLeaseAdmission.h
@@ -53,6 +53,8 @@
   gpMillis PredictWait(const gpLeaseRecord& aJob) const;
   /// The answer to a job that would start too late, or has not started in time.
   gpLeaseAnswer RefuseOverloaded(const gpLeaseRecord& aJob) const;
+  /// The answer to a job with more tasks than the entry has room for now.
+  static gpLeaseAnswer RefuseTooManyTasks();
   /// The requirements of a task of the job, for the choice of a target.
   static gpPlacementNeed NeedOf(const gpLeaseRecord& aJob,
                                 const gpJobStep& aStep,
--- a/Source/Lease/gpLeaseEntryReducer.cxx
+++ b/Source/Lease/gpLeaseEntryReducer.cxx
@@ -135,6 +135,10 @@
     Refuse(aEvent, queue, *crashRefusal);
     return;
   }
+  if (jobs_.CountTasks() + aEvent.job_.CountTasks() > options_.mostTasks_) {
+    Refuse(aEvent, queue, gpLeaseAdmission::RefuseTooManyTasks());
+    return;
+  }
   // While the event loop lags, the job has already waited that long before it
   // was read.
   const gpTime arrivedAt = now_ - lag_.GetStandingDelay();
--- a/Source/Lease/gpLeaseEntryReducer.h
+++ b/Source/Lease/gpLeaseEntryReducer.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "gpClientLimits.h"
 #include "gpCrashMonitor.h"
 #include "gpEndedJobs.h"
 #include "gpEntryPeers.h"
@@ -30,6 +31,9 @@
   std::uint64_t firstRun_ = 1;
   /// Longest time from the shutdown request to the end of the process.
   gpMillis shutdown_{ 0 };
+  /// Most tasks of all jobs together that haven't been answered, at least those
+  /// of one job. Further jobs are refused.
+  std::size_t mostTasks_ = gpClientLimits{}.tasks_;
 };
 
 /** \class gpLeaseEntryStatus
--- a/Source/Lease/gpLeaseJob.h
+++ b/Source/Lease/gpLeaseJob.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -38,6 +39,9 @@
   std::vector<gpJobStep> steps_;
   /// How long the caller waits for the answer; 0 if not declared.
   gpMillis callerTimeout_{ 0 };
+
+  /// Number of tasks of all steps.
+  std::size_t CountTasks() const;
 };
 
 /// The ID of the job to which the task with this name belongs.
@@ -62,6 +66,7 @@
   NoTarget,        ///< no target of the service accepts work
   TooLarge,        ///< a task needs more than any target's capacity
   Overloaded,      ///< it would start too late for its objective
+  TooManyTasks,    ///< the entry has as many tasks as it may have
   QueueContained,  ///< the few targets for queues that crash targets are down
   ShuttingDown,    ///< the entry accepts no new jobs
   Duplicate,       ///< answer to a request whose job was submitted again
--- a/Source/Lease/gpLeaseJobTable.cxx
+++ b/Source/Lease/gpLeaseJobTable.cxx
@@ -43,6 +43,7 @@
       aRecord.tasks_.push_back(std::move(task));
     }
   }
+  taskCount_ += aRecord.tasks_.size();
   byRequest_.emplace(aRecord.request_, aRecord.sequence_);
   byId_.insert_or_assign(aRecord.job_.id_, aRecord.sequence_);
   gpLeaseRecord& job =
@@ -63,6 +64,7 @@
     waiting_.erase(KeyOf(job, task));
     byRun_.erase(job.tasks_[task].run_);
   }
+  taskCount_ -= job.tasks_.size();
   byRequest_.erase(job.request_);
   const auto named = byId_.find(job.job_.id_);
   if (named != byId_.end() && named->second == aSequence) {
--- a/Source/Lease/gpLeaseJobTable.h
+++ b/Source/Lease/gpLeaseJobTable.h
@@ -112,6 +112,8 @@
   gpLeaseRecord* Find(std::uint64_t aSequence);
   gpLeaseRecord* FindByRequest(gpRequestId aRequest);
   gpLeaseRecord* FindById(const std::string& aId);
+  /// Number of tasks of all jobs.
+  std::size_t CountTasks() const { return taskCount_; }
   bool HasId(const std::string& aId) const { return byId_.contains(aId); }
   /// The job and task index of a run in flight; null if the run is unknown.
   std::pair<gpLeaseRecord*, std::size_t> FindRun(const gpRunId& aRun);
@@ -149,4 +151,5 @@
   std::map<gpRunId, std::pair<std::uint64_t, std::size_t>> byRun_;
   std::set<WaitingKey> waiting_;
   std::uint64_t lastSequence_ = 0;
+  std::size_t taskCount_ = 0;
 };
--- a/Tests/Lease/testLeaseEntry.cxx
+++ b/Tests/Lease/testLeaseEntry.cxx
@@ -721,3 +721,23 @@
   BOOST_TEST(entry.stopped_);
   BOOST_TEST(entry.cancelledTold_.size() == 2U);
 }
+
+// Guards against callers whose jobs of a few bytes have far more tasks than the
+// entry has memory for.
+BOOST_AUTO_TEST_CASE(JobsOverTheMostTasksAreRefusedUntilOthersHaveEnded)
+{
+  EntryWithGuard entry;
+  gpLeaseJob large = MakeJob("large");
+  large.steps_[0].count_ = static_cast<std::uint32_t>(gpClientLimits{}.tasks_);
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(1), large });
+  BOOST_TEST(!entry.answers_.contains(gpRequestId(1)));
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(2), MakeJob("small") });
+  BOOST_REQUIRE(entry.answers_.contains(gpRequestId(2)));
+  const gpLeaseAnswer& refusal = entry.answers_.at(gpRequestId(2));
+  BOOST_TEST((refusal.outcome_ == gpLeaseOutcome::NotRun));
+  BOOST_TEST((refusal.reason_ == gpLeaseReason::TooManyTasks));
+  BOOST_TEST(refusal.retryAfter_.has_value());
+  entry.Feed(gpCallerDisconnected{ gpRequestId(1) });
+  entry.Feed(gpLeaseJobSubmitted{ gpRequestId(3), MakeJob("again") });
+  BOOST_TEST(!entry.answers_.contains(gpRequestId(3)));
+}
