Guard: Send few starts and stops to the target at a time

What callers saw: after a crowd of 2,700 callers, each with a small job of one task, no ordinary job was served for over 20 s, neither beside the crowd nor after it had left (429, 503), 3 of 3 times on.

Evidence: the guard used a whole core, 30,000 connections to the target stood in TIME-WAIT, takes_work was false, and 482 stops ended as "lease_expired" after 24 s. Starts: 528 of 1,025 ended as "unhealthy not_started", and the entry ejected the target for 16 s.

Cause: a guard has 48 connections to its target, and a call that has no answer after 25 ms, the wait for a connection included, is given up with its connection. Of a thousand stops at once most timed out in the queue; all were repeated after the pause, polls waited behind them, and the guard did nothing but open connections. Starts that timed out in the queue counted as failures of the target.

Now 32 stops and 32 starts are in flight at most; the others wait in the guard without a time-out, and are due when a call has ended. How long a stop may be without an answer before the lease has to end the run is counted from the order, as before. A run that is stopped while its start waits is never started; nor is one whose target leaves meanwhile. At most 16,384 runs are admitted.

FewStartsAreInFlightAtATime, FewStopsAreInFlightAtATime, ARunThatIsStoppedBeforeItsStartWasSentIsNeverStarted and ALeavingTargetGetsNoStartThatStillWaits are unit tests of the same; they weren't run on the code before.

--- a/Source/Lease/gpLeaseGuardReducer.cxx
+++ b/Source/Lease/gpLeaseGuardReducer.cxx
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <memory>
 #include <utility>
 
 #include "gpLeaseLogEvents.h"
@@ -21,6 +22,8 @@
 /// the process runs, CheckPause can take a longer gap for a suspension of the
 /// process.
 constexpr gpMillis kTick{ 50 };
+/// Most runs of the target that are admitted; limits the memory.
+constexpr std::size_t kMostRuns = 16384;
 
 } // namespace
 
@@ -39,6 +42,7 @@
   now_ = aEvent.now_;
   CheckPause();
   std::visit([this](const auto& aInput) { On(aInput); }, aEvent.input_);
+  SendStarts();
   crashReporter_.Check(now_, out_);
   stopper_.Repeat(pollSchedule_.GetPause(), now_, out_);
   AskForClaims();
@@ -166,8 +170,9 @@
   if (capacityEnforced_ != wasEnforced && capacityToldAt_.has_value()) {
     UpdateRecord();
   }
+  const auto spec = std::make_shared<const std::string>(aMessage.spec_);
   for (const gpRunId& run : aMessage.runs_) {
-    StartOne(aLink, aMessage, run);
+    AdmitOne(aLink, aMessage, { run, spec });
   }
 }
 
@@ -194,40 +199,66 @@
 }
 
 void
-gpLeaseGuardReducer::StartOne(gpLinkId aLink,
+gpLeaseGuardReducer::AdmitOne(gpLinkId aLink,
                               const gpRunOrder& aOrder,
-                              const gpRunId& aRun)
+                              const gpStartQueue::Start& aStart)
 {
+  const gpRunId& id = aStart.run_;
   links_.NoteOrdered(aLink, now_);
   if (!TakesWork() || links_.IsSurplus(aLink)) {
-    const bool isLeaving = shutdownEnd_ != gpTime::max() ||
-                           links_.IsSurplus(aLink) ||
-                           (target_.IsKnown() && target_.IsLeaving());
-    Refuse(aLink, aRun, isLeaving ? gpRunEnd::Leaving : gpRunEnd::Unhealthy);
+    Refuse(
+      aLink, id, links_.IsSurplus(aLink) ? gpRunEnd::Leaving : WhyNoWork());
     return;
   }
-  if (!runs_.GetFree().Covers(aOrder.needs_)) {
-    Refuse(aLink, aRun, gpRunEnd::NoRoom);
+  if (runs_.GetAll().size() >= kMostRuns ||
+      !runs_.GetFree().Covers(aOrder.needs_)) {
+    Refuse(aLink, id, gpRunEnd::NoRoom);
     return;
   }
   gpGuardRun run;
-  run.id_ = aRun;
+  run.id_ = id;
   run.owner_ = links_.GetEntry(aLink);
   run.queue_ = aOrder.queue_;
   run.needs_ = aOrder.needs_;
   run.estimate_ = aOrder.estimate_;
   run.orderedAt_ = now_;
   if (!runs_.Add(std::move(run))) {
-    Refuse(aLink, aRun, gpRunEnd::Outdated);
+    Refuse(aLink, id, gpRunEnd::Outdated);
     return;
   }
   crashReporter_.NoteStart(aOrder.queue_, now_);
-  WriteRun(gpEventKind::TaskAdmitted, aRun, "");
-  out_.Add(gpStartRun{ target_.Get().id_,
-                       aRun,
-                       aOrder.spec_,
-                       target_.GetFence(),
-                       target_.ExtendLease(now_) });
+  WriteRun(gpEventKind::TaskAdmitted, id, "");
+  starts_.Add(aStart);
+}
+
+gpRunEnd
+gpLeaseGuardReducer::WhyNoWork() const
+{
+  const bool isLeaving =
+    shutdownEnd_ != gpTime::max() || (target_.IsKnown() && target_.IsLeaving());
+  return isLeaving ? gpRunEnd::Leaving : gpRunEnd::Unhealthy;
+}
+
+void
+gpLeaseGuardReducer::SendStarts()
+{
+  while (starts_.HasNext()) {
+    const gpStartQueue::Start start = starts_.TakeNext();
+    const gpGuardRun* run = runs_.Find(start.run_);
+    if (run == nullptr || run->phase_ != gpRunPhase::Starting) {
+      continue; // it was stopped while it waited
+    }
+    if (!TakesWork()) {
+      Finish(start.run_, WhyNoWork(), gpEndEvidence::NotStarted);
+      continue;
+    }
+    starts_.NoteSent();
+    out_.Add(gpStartRun{ target_.Get().id_,
+                         start.run_,
+                         *start.spec_,
+                         target_.GetFence(),
+                         target_.ExtendLease(now_) });
+  }
 }
 
 void
@@ -460,6 +491,7 @@
 void
 gpLeaseGuardReducer::On(const gpStartReplied& aEvent)
 {
+  starts_.NoteReplied();
   // Otherwise the answer may be of an earlier incarnation.
   if (gpGuardRun* run = runs_.Find(aEvent.run_)) {
     target_.NoteClock(aEvent.clock_, now_);
--- a/Source/Lease/gpLeaseGuardReducer.h
+++ b/Source/Lease/gpLeaseGuardReducer.h
@@ -10,6 +10,7 @@
 #include "gpPollSchedule.h"
 #include "gpRunStopper.h"
 #include "gpRunTable.h"
+#include "gpStartQueue.h"
 #include "gpTargetClaims.h"
 #include "gpTargetSession.h"
 #include "gpTargetSpeed.h"
@@ -95,7 +96,14 @@
   /// has no answer for too long, its lease is to end them.
   bool MayRenewLease() const;
   bool TakesWork() const;
-  void StartOne(gpLinkId aLink, const gpRunOrder& aOrder, const gpRunId& aRun);
+  /// Why a run isn't started while TakesWork is false.
+  gpRunEnd WhyNoWork() const;
+  /// Admits a run to the queue of starts, or refuses it.
+  void AdmitOne(gpLinkId aLink,
+                const gpRunOrder& aOrder,
+                const gpStartQueue::Start& aStart);
+  /// Sends the next starts of the queue to the target.
+  void SendStarts();
   /// The call to start the run ended.
   void NoteStarted(gpGuardRun& aRun, gpOrderReply aReply);
   /// The run has ended: reports it to its entry and frees its capacity.
@@ -146,6 +154,7 @@
   gpTargetSession target_;
   gpTargetClaims claims_;
   gpRunTable runs_;
+  gpStartQueue starts_;
   gpRunStopper stopper_;
   gpPollSchedule pollSchedule_;
   gpTargetSpeed speed_;
--- a/Source/Lease/gpRunStopper.cxx
+++ b/Source/Lease/gpRunStopper.cxx
@@ -102,10 +102,15 @@
                    gpTime aNow,
                    gpLeaseEffects& aOut)
 {
-  if (target_.IsKnown()) {
-    stops_.NoteSent(aRun, aNow, aNow + aPatience);
-    aOut.Add(gpStopRun{ target_.Get().id_, aRun, target_.GetFence() });
+  if (!target_.IsKnown()) {
+    return;
+  }
+  if (!stops_.MaySend()) {
+    stops_.NoteNotSent(aRun, aNow + aPatience);
+    return;
   }
+  stops_.NoteSent(aRun, aNow, aNow + aPatience);
+  aOut.Add(gpStopRun{ target_.Get().id_, aRun, target_.GetFence() });
 }
 
 void
--- a/Tests/Lease/testLeaseGuard.cxx
+++ b/Tests/Lease/testLeaseGuard.cxx
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE gpLeaseGuard
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -102,6 +103,27 @@
     Feed(gpMessageReceived{ aLink, order });
   }
 
+  /// Calls to start or stop a run that haven't been answered.
+  template<typename Call>
+  std::size_t CountInFlight() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(calls_.begin(), calls_.end(), [](const auto& aCall) {
+        return std::holds_alternative<Call>(aCall);
+      }));
+  }
+  /// Orders many runs that need nothing, and returns them.
+  std::vector<gpRunId> OrderMany(std::size_t aCount)
+  {
+    gpRunOrder order;
+    order.capacityEnforced_ = true;
+    for (std::size_t run = 0; run < aCount; ++run) {
+      order.runs_.push_back({ "job.0.0." + std::to_string(run), 1 });
+    }
+    Feed(gpMessageReceived{ kLink, order });
+    return order.runs_;
+  }
+
   /// Answers all calls with aReply, each after kRoundTrip, for aTime.
   void RunFor(gpMillis aTime, gpOrderReply aReply)
   {
@@ -991,3 +1013,60 @@
   BOOST_TEST(guard.renewals_ > 0);
   BOOST_TEST(guard.starts_ == 1);
 }
+
+namespace {
+
+constexpr std::size_t kManyRuns = 1000;
+
+} // namespace
+
+// Guards against starts that time out, and so count as failures of the target,
+// because they wait for a connection to it.
+BOOST_AUTO_TEST_CASE(FewStartsAreInFlightAtATime)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.running_ = guard.OrderMany(kManyRuns);
+  BOOST_TEST(guard.CountInFlight<gpStartRun>() == gpStartQueue::kMostInFlight);
+  guard.RunFor(gpMillis(200), gpOrderReply::Accepted);
+  BOOST_TEST(guard.starts_ == static_cast<int>(kManyRuns));
+  BOOST_TEST(guard.reports_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ARunThatIsStoppedBeforeItsStartWasSentIsNeverStarted)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  const std::vector<gpRunId> runs = guard.OrderMany(kManyRuns);
+  guard.Feed(gpMessageReceived{ kLink, gpRunCancel{ runs } });
+  guard.RunFor(gpMillis(500), gpOrderReply::Accepted);
+  BOOST_TEST(guard.starts_ == static_cast<int>(gpStartQueue::kMostInFlight));
+  BOOST_TEST(guard.reports_ == static_cast<int>(kManyRuns));
+}
+
+BOOST_AUTO_TEST_CASE(ALeavingTargetGetsNoStartThatStillWaits)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.OrderMany(kManyRuns);
+  guard.Feed(gpHeartbeatReceived{ MakeTarget(2, true) });
+  guard.RunFor(gpMillis(200), gpOrderReply::Accepted);
+  BOOST_TEST(guard.starts_ == static_cast<int>(gpStartQueue::kMostInFlight));
+}
+
+// Guards against a guard that repeats hundreds of stops at once without end,
+// as they all time out while they wait for a connection to the target.
+BOOST_AUTO_TEST_CASE(FewStopsAreInFlightAtATime)
+{
+  GuardWithTarget guard;
+  guard.RunFor(gpMillis(20), gpOrderReply::Accepted);
+  guard.running_ = guard.OrderMany(kManyRuns);
+  guard.RunFor(gpMillis(200), gpOrderReply::Accepted);
+  guard.Feed(gpMessageReceived{ kLink, gpRunCancel{ guard.running_ } });
+  BOOST_TEST(guard.CountInFlight<gpStopRun>() == gpPendingStops::kMostInFlight);
+  guard.RunFor(gpMillis(20), gpOrderReply::Silent);
+  BOOST_TEST(guard.CountInFlight<gpStopRun>() <= gpPendingStops::kMostInFlight);
+  guard.running_.clear();
+  guard.RunFor(gpMillis(300), gpOrderReply::Accepted);
+  BOOST_TEST(guard.reports_ == static_cast<int>(kManyRuns));
+}
