Configuration: Bound the errors that are reported of a text

What callers saw: one request of 118 KB to the product's own interface brought an entry to 318 MB, and whole bodies of tasks without fields to 237 MB. Of a file of 420 KB like the former, `gypsumpoint validate` had not ended after 60 s.

Cause: each error of a JSON text is listed with its path, which contains the keys above it. Three thousand duplicates below a key of 100 KB have 300 MB of paths; a list of a million empty tasks has two million errors.

Now a text has at most 1,000 errors, with paths of at most 1,000 bytes, and no path is made for more. A list of more tasks than any configuration allows (10,000) is an error by itself and isn't read.

--- a/Source/Configuration/gpConfigurationFile.cxx
+++ b/Source/Configuration/gpConfigurationFile.cxx
@@ -7,7 +7,6 @@
 namespace json = boost::json;
 
 constexpr std::uint64_t kMaxQueueTasks = 1000000;
-constexpr std::uint64_t kMaxJobTasks = 10000;
 constexpr std::uint64_t kMaxBodyBytes = 64U << 20U;
 constexpr std::uint64_t kMaxAttempts = 100;
 constexpr std::uint64_t kMaxBudgetPercent = 1000;
@@ -33,7 +32,7 @@
 ReadLimits(gpJsonObject aObject, gpLimits& aLimits)
 {
   aObject.Number("queue_tasks", aLimits.queueTasks_, { 1, kMaxQueueTasks });
-  aObject.Number("job_tasks", aLimits.jobTasks_, { 1, kMaxJobTasks });
+  aObject.Number("job_tasks", aLimits.jobTasks_, { 1, kGpMostJobTasks });
   aObject.Number("body_bytes", aLimits.bodyBytes_, { 1, kMaxBodyBytes });
   aObject.Millis("max_deadline_ms", aLimits.maxDeadline_, { 1, kHourMs });
   aObject.Millis(
--- a/Source/Configuration/gpJobJson.cxx
+++ b/Source/Configuration/gpJobJson.cxx
@@ -5,6 +5,7 @@
 
 #include <absl/strings/escaping.h>
 
+#include "gpConfiguration.h"
 #include "gpJsonReader.h"
 #include "gpUtf8.h"
 
@@ -120,7 +121,7 @@
   const auto readTask = [&](gpJsonObject& aObject) {
     submission.tasks_.push_back(ReadTask(aObject, aHasKey));
   };
-  aRoot.Objects("tasks", readTask, kRequired);
+  aRoot.Objects("tasks", readTask, kRequired, kGpMostJobTasks);
   if (aRoot.HasEmptyList("tasks")) {
     aRoot.AddError("tasks", "at least one task");
   }
--- a/Source/Configuration/gpJsonReader.cxx
+++ b/Source/Configuration/gpJsonReader.cxx
@@ -11,6 +11,31 @@
 
 namespace {
 
+/// Most errors of one text that are reported, and most bytes of the path of
+/// each. A text may come from anybody, and be written to have far more.
+constexpr std::size_t kMostErrors = 1000;
+constexpr std::size_t kMostPathBytes = 1000;
+
+std::string
+Shorten(std::string aPath)
+{
+  if (aPath.size() > kMostPathBytes) {
+    aPath.resize(kMostPathBytes);
+    aPath += "...";
+  }
+  return aPath;
+}
+
+void
+AddJsonError(gpJsonErrors& aErrors,
+             const std::string& aPath,
+             std::string aExpected)
+{
+  if (aErrors.size() < kMostErrors) {
+    aErrors.push_back({ Shorten(aPath), std::move(aExpected) });
+  }
+}
+
 namespace json = boost::json;
 
 constexpr std::size_t kMaxNameLength = 64;
@@ -105,8 +130,10 @@
   {
     Frame& frame = frames_.back();
     frame.key_ = std::exchange(keyText_, {});
-    if (!frame.keys_.insert(frame.key_).second) {
-      errors_.push_back({ Path(), "the key once; this one is a duplicate" });
+    // Making the path of each duplicate could take very long.
+    if (!frame.keys_.insert(frame.key_).second &&
+        errors_.size() < kMostErrors) {
+      AddJsonError(errors_, Path(), "the key once; this one is a duplicate");
     }
   }
   std::string Path() const
@@ -224,7 +251,7 @@
   , errors_(&aErrors)
 {
   if (object_ == nullptr) {
-    errors_->push_back({ path_, "an object" });
+    AddJsonError(*errors_, path_, "an object");
   }
 }
 
@@ -258,7 +285,7 @@
 void
 gpJsonObject::AddError(std::string_view aKey, std::string aExpected)
 {
-  errors_->push_back({ PathOf(aKey), std::move(aExpected) });
+  AddJsonError(*errors_, PathOf(aKey), std::move(aExpected));
 }
 
 void
@@ -378,9 +405,9 @@
     const json::value& value = (*list)[i];
     const std::string path = gpJsonPath(PathOf(aKey), std::to_string(i));
     if (!value.is_string() || !aRule.accepts_(value.get_string())) {
-      errors_->push_back({ path, aRule.expected_ });
+      AddJsonError(*errors_, path, aRule.expected_);
     } else if (!seen.insert(value.get_string()).second) {
-      errors_->push_back({ path, "each value once; this one is a duplicate" });
+      AddJsonError(*errors_, path, "each value once; this one is a duplicate");
     } else {
       texts.push_back({ path, std::string(value.get_string()) });
     }
@@ -418,12 +445,17 @@
 void
 gpJsonObject::Objects(std::string_view aKey,
                       const std::function<void(gpJsonObject&)>& aRead,
-                      gpPresence aPresence)
+                      gpPresence aPresence,
+                      std::size_t aMost)
 {
   const json::array* list = FindList(aKey, aPresence);
   if (list == nullptr) {
     return;
   }
+  if (list->size() > aMost) {
+    AddError(aKey, "at most " + std::to_string(aMost) + " elements");
+    return;
+  }
   const std::string path = PathOf(aKey);
   for (std::size_t i = 0; i < list->size(); ++i) {
     gpJsonObject element(
--- a/Source/Configuration/gpJsonReader.h
+++ b/Source/Configuration/gpJsonReader.h
@@ -187,10 +187,12 @@
                                      gpNumberRange aRange);
   /// The object in a field; an empty object if the field is missing.
   gpJsonObject Object(std::string_view aKey);
-  /// Calls the function for each element of a list of objects.
+  /// Calls the function for each element of a list of objects; for none if the
+  /// list has more than aMost.
   void Objects(std::string_view aKey,
                const std::function<void(gpJsonObject&)>& aRead,
-               gpPresence aPresence = gpPresence::Optional);
+               gpPresence aPresence = gpPresence::Optional,
+               std::size_t aMost = std::numeric_limits<std::size_t>::max());
   /// For an object that is a map from names to objects: calls the function for
   /// each field, with its name and its object. Finish isn't needed then.
   void Members(
--- a/Source/Model/gpConfiguration.h
+++ b/Source/Model/gpConfiguration.h
@@ -19,6 +19,9 @@
   TwoChoices,  ///< the less loaded of two chosen at random
 };
 
+/// Most tasks of a job that any configuration allows.
+constexpr std::uint32_t kGpMostJobTasks = 10000;
+
 /** \class gpLimits
  * \brief Limits on the submissions of one service.
  */
@@ -26,7 +29,7 @@
 {
   /// Longest queue of waiting tasks at one entry, 1 to 1000000.
   std::uint32_t queueTasks_ = 10000;
-  /// Tasks of one job, 1 to 10000.
+  /// Tasks of one job, 1 to kGpMostJobTasks.
   std::uint32_t jobTasks_ = 270;
   /// Total bytes of the bodies of one job's tasks, 1 byte to 64 MiB.
   std::uint32_t bodyBytes_ = 4U << 20U;
--- a/Tests/Configuration/testJobJson.cxx
+++ b/Tests/Configuration/testJobJson.cxx
@@ -82,6 +82,23 @@
                           "are not listed here"));
 }
 
+// Guards against a body whose list of errors is far larger than itself.
+BOOST_AUTO_TEST_CASE(BoundsTheErrorsOfASubmission)
+{
+  constexpr std::size_t kMostText = 100'000;
+  std::string duplicates = R"({")" + std::string(50'000, 'x') + R"(":{"a":1)";
+  for (int i = 0; i < 200; ++i) {
+    duplicates += R"(,"a":1)";
+  }
+  BOOST_TEST(ErrorsOf(duplicates + "}}", std::nullopt).size() < kMostText);
+  std::string tasks = "{}";
+  for (int i = 0; i < 20'000; ++i) {
+    tasks += ",{}";
+  }
+  const std::string errors = ErrorsOf(JobWithTasks(tasks), std::nullopt);
+  BOOST_TEST(errors == "/tasks: expected at most 10000 elements");
+}
+
 BOOST_AUTO_TEST_CASE(RendersACompleteAnswer)
 {
   const gpAnswer answer = gpComplete{ { { 200, "a\"b" }, { 404, "" } } };
