Configuration: Bound the values of a text

Cause: a body of 3 MB, within the limit of 4 MiB, has a million values of three bytes, and each takes 16 bytes and more once it's parsed; two are parsed at a time.

Now the scan for duplicate keys, which comes first, counts the values, and a text of more than 250,000 isn't parsed; the largest job that a configuration allows has 70,000.

The platform's jobs aren't read by this parser; settings and the own interface are.

--- a/Source/Configuration/gpJsonReader.cxx
+++ b/Source/Configuration/gpJsonReader.cxx
@@ -15,6 +15,9 @@
 /// each. A text may come from anybody, and be written to have far more.
 constexpr std::size_t kMostErrors = 1000;
 constexpr std::size_t kMostPathBytes = 1000;
+/// Most values of a text, several times those of the largest job. A text of
+/// three bytes a value takes far more memory once it's parsed.
+constexpr std::size_t kMostValues = 250000;
 
 std::string
 Shorten(std::string aPath)
@@ -96,6 +99,8 @@
   bool on_comment(json::string_view, json::error_code&) { return true; }
   // NOLINTEND(readability-identifier-naming)
 
+  bool HasTooManyValues() const { return valueCount_ > kMostValues; }
+
   gpJsonErrors errors_;
 
 private:
@@ -124,6 +129,7 @@
     if (!frames_.empty()) {
       ++frames_.back().values_;
     }
+    ++valueCount_;
     return true;
   }
   void AddKey()
@@ -148,6 +154,7 @@
 
   std::vector<Frame> frames_;
   std::string keyText_;
+  std::size_t valueCount_ = 0;
 };
 
 std::string
@@ -163,8 +170,16 @@
          aError.message();
 }
 
-// Checks the syntax and finds all duplicate keys.
-gpJsonErrors
+/// What a scan of a text has found.
+struct ScanResult
+{
+  gpJsonErrors errors_;
+  /// Whether the text can be parsed, and doesn't take too much memory then.
+  bool isParsable_ = false;
+};
+
+// Checks the syntax, counts the values and finds duplicate keys.
+ScanResult
 Scan(std::string_view aText)
 {
   json::basic_parser<DuplicateKeyHandler> parser{ json::parse_options() };
@@ -175,9 +190,13 @@
     error = json::error::extra_data;
   }
   if (error) {
-    return { { "", SyntaxErrorText(aText, consumed, error) } };
+    return { { { "", SyntaxErrorText(aText, consumed, error) } }, false };
+  }
+  if (parser.handler().HasTooManyValues()) {
+    const std::string most = std::to_string(kMostValues);
+    return { { { "", "at most " + most + " values" } }, false };
   }
-  return std::move(parser.handler().errors_);
+  return { std::move(parser.handler().errors_), true };
 }
 
 bool
@@ -235,8 +254,12 @@
 gpJsonDocument
 gpJsonDocument::Parse(std::string_view aText)
 {
+  ScanResult scan = Scan(aText);
   gpJsonDocument document;
-  document.errors_ = Scan(aText);
+  document.errors_ = std::move(scan.errors_);
+  if (!scan.isParsable_) {
+    return document;
+  }
   json::error_code error;
   document.root_ = json::parse(json::string_view(aText), error);
   document.parsed_ = !error;
--- a/Tests/Configuration/testJobJson.cxx
+++ b/Tests/Configuration/testJobJson.cxx
@@ -97,6 +97,12 @@
   }
   const std::string errors = ErrorsOf(JobWithTasks(tasks), std::nullopt);
   BOOST_TEST(errors == "/tasks: expected at most 10000 elements");
+  std::string values = "1";
+  for (int i = 0; i < 300'000; ++i) {
+    values += ",1";
+  }
+  BOOST_TEST(ErrorsOf(JobWithTasks(values), std::nullopt) ==
+             "the whole text: expected at most 250000 values");
 }
 
 BOOST_AUTO_TEST_CASE(RendersACompleteAnswer)
