--- a/Source/Model/gpClientLimits.h
+++ b/Source/Model/gpClientLimits.h
@@ -7,8 +7,8 @@
  * \brief Limits on what others can make a process keep, whoever they are: the
  * connections and the bytes of one client, and of all together.
  *
- * The defaults of all ports of a process add up to less than the memory and the
- * descriptors of the smallest machine that it runs on.
+ * Each port has limits of its own. A crowd at one port stays within the
+ * smallest machine; the defaults of all ports together exceed its descriptors.
  */
 struct gpClientLimits
 {
